--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+GO ?= go
+BIN := bin
+MODULES := internal cmd/jvctl cmd/jvload cmd/jvrouter cmd/jvstand
+LINT := $(shell $(GO) env GOPATH)/bin/golangci-lint
+LINT_VERSION := v2.15.0
+GOA_VERSION := v3.25.3
+
+.PHONY: build demo test lint format bench gen tools golden
+
+# Builds all programs into bin/.
+build:
+	@mkdir -p $(BIN)
+	@$(GO) build -o $(BIN)/ ./cmd/jvctl ./cmd/jvload ./cmd/jvrouter ./cmd/jvstand
+
+# Starts a fleet with stand-ins on loopback, uses it, breaks parts of it, and judges it.
+demo: build
+	@$(BIN)/jvload demo --bin $(BIN) --out out/demo
+
+# Runs all tests under the race detector; the end-to-end tests run the built programs.
+test: build
+	@JV_BIN=$(CURDIR)/$(BIN) CI_MODULES="$(MODULES)" GO="$(GO)" sh scripts/test.sh
+
+# Installs the linter, which holds the formatter too.
+tools:
+	@test -x $(LINT) && $(LINT) version 2>/dev/null | grep -q "$(LINT_VERSION:v%=%)" || $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+
+# Checks formatting and lints every module.
+lint: tools
+	@for m in $(MODULES); do (cd $$m && $(LINT) fmt --diff ./... && $(LINT) run ./...) || exit 1; done
+
+# Formats every module.
+format: tools
+	@for m in $(MODULES); do (cd $$m && $(LINT) fmt ./...) || exit 1; done
+
+# Writes the golden files of tests anew; read the difference before committing it.
+golden:
+	@cd internal && $(GO) test ./... -update
+
+# Generates the HTTP code from internal/design; its clients are not used and left out.
+gen:
+	@cd internal && rm -rf gen && $(GO) run goa.design/goa/v3/cmd/goa@$(GOA_VERSION) gen github.com/jasminevale/jasminevale/internal/design
+	@cd internal && rm -rf gen/http/cli gen/http/*/client gen/*/client.go
--- /dev/null
+++ b/cmd/jvload/run.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/jasminevale/jasminevale/internal/jvcaller"
+)
+
+// runCommand plays callers.
+type runCommand struct {
+	Router    []string           `required:"" help:"Base URLs of callers' ports."`
+	Key       string             `required:"" help:"The workspace's key."`
+	Rate      float64            `default:"20" help:"Jobs a second."`
+	Duration  time.Duration      `default:"10s" help:"How long new jobs start."`
+	Mix       map[string]float64 `default:"draft=1;quick=4;chat=2;lookup=2;booking=0.5;charge=0.5" help:"Weight of each kind."`
+	Profiles  map[string]string  `default:"draft=drafts;quick=quick;chat=chat" help:"Profile of each model kind."`
+	Service   string             `default:"desk" help:"Pool of the plain service."`
+	Output    int64              `default:"64" help:"Largest answer in tokens."`
+	SlowShare float64            `default:"0.1" help:"Share of callers on a slow line."`
+	SlowPause time.Duration      `default:"50ms" help:"Pause of a slow line after each event."`
+	Tries     int                `default:"4" help:"How often a job is sent, each time to the next router."`
+	Pause     time.Duration      `default:"200ms" help:"Pause between tries."`
+	Seed      uint64             `default:"1" help:"Seed of the mix."`
+	Prefix    string             `default:"" help:"Beginning of all keys; by default the time."`
+	JSON      bool               `help:"Write JSON."`
+}
+
+// Run implements the command.
+func (c *runCommand) Run() error {
+	prefix := c.Prefix
+	if prefix == "" {
+		prefix = fmt.Sprintf("%x-", time.Now().UnixNano())
+	}
+	mix, profiles := map[jvcaller.Kind]float64{}, map[jvcaller.Kind]string{}
+	for k, w := range c.Mix {
+		mix[jvcaller.Kind(k)] = w
+	}
+	for k, p := range c.Profiles {
+		profiles[jvcaller.Kind(k)] = p
+	}
+	load := &jvcaller.Load{
+		Caller:    &jvcaller.Caller{Routers: c.Router, Key: c.Key, HTTP: callersClient(), Tries: c.Tries, Pause: c.Pause},
+		Rate:      c.Rate,
+		Duration:  c.Duration,
+		Mix:       mix,
+		Profiles:  profiles,
+		Service:   c.Service,
+		Output:    c.Output,
+		SlowShare: c.SlowShare,
+		SlowPause: c.SlowPause,
+		Seed:      c.Seed,
+		Prefix:    prefix,
+	}
+	var summary jvcaller.Summary
+	load.Run(context.Background(), &summary)
+	reports := summary.Report()
+	if c.JSON {
+		return json.NewEncoder(os.Stdout).Encode(reports)
+	}
+	jvcaller.WriteText(os.Stdout, reports)
+	return nil
+}
+
+// callersClient keeps connections as many callers' clients together would.
+func callersClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512, MaxIdleConns: 4096}}
+}
--- /dev/null
+++ b/cmd/jvrouter/run.go
@@ -0,0 +1,205 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+
+	"github.com/jasminevale/jasminevale/internal/jvchance"
+	"github.com/jasminevale/jasminevale/internal/jvedge"
+	"github.com/jasminevale/jasminevale/internal/jvengine"
+	"github.com/jasminevale/jasminevale/internal/jvfleet"
+	"github.com/jasminevale/jasminevale/internal/jvlog"
+	"github.com/jasminevale/jasminevale/internal/jvpeer"
+	"github.com/jasminevale/jasminevale/internal/jvplatform"
+	"github.com/jasminevale/jasminevale/internal/jvsetting"
+	"github.com/jasminevale/jasminevale/internal/jvtimer"
+	"github.com/jasminevale/jasminevale/internal/jvtls"
+)
+
+// runCommand runs the router.
+type runCommand struct {
+	File string `arg:"" help:"Settings in JSON."`
+}
+
+// Run implements the command. What it does reads top to bottom: settings, the interfaces to
+// the outside, the router, its three ports, and the wait for a signal.
+func (c *runCommand) Run() error {
+	settings, err := jvsetting.ReadRouter(c.File)
+	if err != nil {
+		return err
+	}
+	secret, err := os.ReadFile(settings.Peers.Secret)
+	if err != nil {
+		return errors.Wrap(err, "read the fleet's secret")
+	}
+	logger := jvlog.New(os.Stdout, int(settings.Log.Level)).WithValues("vm", settings.VM, "zone", settings.Zone)
+	timer := jvtimer.NewService()
+	listeners, err := listen(settings)
+	if err != nil {
+		return err
+	}
+	options, err := fleetOptions(settings, strings.TrimSpace(string(secret)), timer, logger)
+	if err != nil {
+		return err
+	}
+	fleet := jvfleet.NewFleet(options)
+	fleet.Gauges()
+	ports, err := openPorts(settings, strings.TrimSpace(string(secret)), listeners, fleet, timer, logger)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	logger.Info("started", "callers", settings.Callers.Address, "operators", settings.Operators.Address, "peers", settings.Peers.Address)
+	select {
+	case <-signals:
+		fleet.Stop(context.Background())
+	case <-fleet.Done():
+	case err := <-ports.failed:
+		return errors.Wrap(err, "serve a port")
+	}
+	ports.shutdown()
+	timer.Close()
+	logger.Info("stopped")
+	return nil
+}
+
+// listen opens all ports first, so that a taken one ends the program before it joins the fleet.
+func listen(s jvsetting.Router) ([]net.Listener, error) {
+	var listeners []net.Listener
+	for _, address := range []string{s.Callers.Address, s.Operators.Address, s.Peers.Address} {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			return nil, errors.Wrapf(err, "listen on %s", address)
+		}
+		listeners = append(listeners, l)
+	}
+	return listeners, nil
+}
+
+// connections to others are kept open up to these numbers.
+const (
+	idleConnections       = 4096
+	idleConnectionsByHost = 256
+	dialTimeout           = time.Second
+)
+
+func transport(s jvsetting.Router) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: 15 * time.Second}
+	if s.Address != "" {
+		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(s.Address)}
+	}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConns:        idleConnections,
+		MaxIdleConnsPerHost: idleConnectionsByHost,
+		IdleConnTimeout:     time.Minute,
+		DisableCompression:  true,
+	}
+}
+
+func fleetOptions(s jvsetting.Router, secret string, timer *jvtimer.Service, logger logr.Logger) (jvfleet.Options, error) {
+	var seed [32]byte
+	if _, err := rand.Read(seed[:]); err != nil {
+		return jvfleet.Options{}, errors.Wrap(err, "read a random seed")
+	}
+	peerTransport, scheme := transport(s), "ws"
+	if s.Peers.TLS != nil {
+		config, err := jvtls.Client(*s.Peers.TLS, timer)
+		if err != nil {
+			return jvfleet.Options{}, err
+		}
+		peerTransport.TLSClientConfig, scheme = config, "wss"
+	}
+	platform := jvplatform.NewClient(strings.TrimSuffix(s.Platform.URL, "/"), &http.Client{Transport: transport(s)})
+	o := jvfleet.DefaultOptions()
+	o.VM = s.VM
+	o.Zone = s.Zone
+	o.Timer = timer
+	o.Chance = jvchance.NewSource(seed)
+	o.Log = platform
+	o.VMs = platform
+	o.Network = jvpeer.NewClient(&http.Client{Transport: peerTransport}, scheme, secret, timer)
+	o.Targets = jvengine.NewClient(transport(s), timer, s.Stall())
+	o.Logger = logger
+	o.Journal.Stream = s.Platform.Stream
+	o.Workers = int(s.Limits.Requests)
+	o.Pace.StopLimit = s.Stop()
+	if s.Platform.Snapshot > 0 {
+		o.Journal.CheckEntries = uint64(s.Platform.Snapshot)
+	}
+	if s.Platform.SnapshotAge > 0 {
+		o.Journal.CheckEvery = time.Duration(s.Platform.SnapshotAge) * time.Second
+	}
+	return o, nil
+}
+
+// ports are the three servers of a router.
+type ports struct {
+	servers []*jvedge.Server
+	failed  chan error
+}
+
+func openPorts(s jvsetting.Router, secret string, listeners []net.Listener, fleet *jvfleet.Fleet, timer *jvtimer.Service, logger logr.Logger) (*ports, error) {
+	limits := jvedge.DefaultLimits()
+	if s.Limits.Body > 0 {
+		limits.Body = s.Limits.Body
+	}
+	if s.Limits.Connections > 0 {
+		limits.Connections = int(s.Limits.Connections)
+	}
+	stop := func() { go fleet.Stop(context.Background()) }
+	peers := http.NewServeMux()
+	peers.Handle("/peer", jvpeer.NewServer(secret, fleet.Answer, logger.WithName("peers")))
+	handlers := []http.Handler{
+		jvedge.CallersHandler(jvedge.NewCallers(fleet, limits), logger.WithName("callers")),
+		jvedge.OperatorsHandler(jvedge.NewOperators(fleet, stop), logger.WithName("operators")),
+		peers,
+	}
+	p := &ports{failed: make(chan error, len(handlers))}
+	for i, port := range []jvsetting.Port{s.Callers, s.Operators, s.Peers.Port} {
+		server, err := openPort(port, listeners[i], handlers[i], limits, timer)
+		if err != nil {
+			return nil, err
+		}
+		p.servers = append(p.servers, server)
+		go func() {
+			if err := server.Serve(); !errors.Is(err, http.ErrServerClosed) {
+				p.failed <- err
+			}
+		}()
+	}
+	return p, nil
+}
+
+func openPort(port jvsetting.Port, l net.Listener, h http.Handler, limits jvedge.Limits, timer *jvtimer.Service) (*jvedge.Server, error) {
+	if port.TLS == nil {
+		return jvedge.NewServer(l, h, limits, nil), nil
+	}
+	config, err := jvtls.Server(*port.TLS, timer)
+	if err != nil {
+		return nil, err
+	}
+	return jvedge.NewServer(l, h, limits, config), nil
+}
+
+// shutdownLimit is how long answers that are finished may still be on their way to callers.
+const shutdownLimit = 30 * time.Second
+
+func (p *ports) shutdown() {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownLimit)
+	defer cancel()
+	for _, s := range p.servers {
+		_ = s.HTTP().Shutdown(ctx)
+	}
+}
--- /dev/null
+++ b/internal/jvcaller/caller.go
@@ -0,0 +1,258 @@
+package jvcaller
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/jasminevale/jasminevale/internal/jvstandin"
+)
+
+// Caller sends jobs to routers.
+type Caller struct {
+	// Routers are base URLs of callers' ports, Key the workspace's key.
+	Routers []string
+	Key     string
+	HTTP    *http.Client
+	// Tries is how often a job is sent, each time to the next router.
+	Tries int
+	// Pause is the pause between tries where the answer names none; a longer Retry-After is cut to it.
+	Pause time.Duration
+}
+
+// Run sends a job, and again with the same key to the next router, until it has a final
+// answer or its tries are used up.
+func (c *Caller) Run(ctx context.Context, j Job) Result {
+	started := time.Now()
+	r := Result{Job: j}
+	for try := 0; try < max(c.Tries, 1); try++ {
+		if try > 0 {
+			wait(ctx, c.Pause)
+		}
+		r.Tries = try + 1
+		r.Outcome, r.Problem, r.Message, r.Wrong = "", "", "", ""
+		router := c.Routers[(j.First+try)%len(c.Routers)]
+		c.try(ctx, router, &r, started)
+		r.Total = time.Since(started)
+		if r.Served() || r.final() || ctx.Err() != nil {
+			return r
+		}
+	}
+	return r
+}
+
+// final tells whether coming back would not help.
+func (r *Result) final() bool {
+	switch r.Problem {
+	case "", "unreachable", "broken", "overloaded", "unavailable", "deadline", "failed":
+		return r.Outcome == "notrun" && !r.Job.Model() && r.Job.Kind != KindLookup
+	}
+	return true
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// messages returns the messages of a model job exactly as they are sent.
+func (j Job) messages() []byte {
+	text := fmt.Sprintf("%s %d %s %s", j.Kind, j.Number, j.Key, j.Text)
+	if pad := j.Prompt - len(text); pad > 0 {
+		text = strings.Repeat("history of loans ", pad/17+1)[:pad] + text
+	}
+	data, _ := json.Marshal([]map[string]string{{"role": "user", "content": text}})
+	return data
+}
+
+func (c *Caller) request(ctx context.Context, router string, j Job) (*http.Request, error) {
+	method, target, body := http.MethodPost, router+"/v1/chat/completions", []byte(nil)
+	switch {
+	case j.Model():
+		body = []byte(fmt.Sprintf(`{"model":%q,"messages":%s,"stream":%t,"max_tokens":%d}`, j.Profile, j.messages(), j.Kind == KindChat, j.Output))
+	case j.Kind == KindLookup:
+		method, target = http.MethodGet, fmt.Sprintf("%s/v1/services/%s/stock/%d", router, j.Service, j.Number)
+	default:
+		target = fmt.Sprintf("%s/v1/services/%s/%ss", router, j.Service, j.Kind)
+		body = []byte(fmt.Sprintf(`{"number":%d,"text":%q}`, j.Number, j.Text))
+	}
+	request, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Authorization", "Bearer "+c.Key)
+	request.Header.Set("Content-Type", "application/json")
+	if j.Key != "" {
+		request.Header.Set("Idempotency-Key", j.Key)
+	}
+	return request, nil
+}
+
+func (c *Caller) try(ctx context.Context, router string, r *Result, started time.Time) {
+	request, err := c.request(ctx, router, r.Job)
+	if err != nil {
+		r.Problem, r.Message = "broken", err.Error()
+		return
+	}
+	response, err := c.HTTP.Do(request)
+	if err != nil {
+		r.Problem, r.Message = "unreachable", err.Error()
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	r.Status = response.StatusCode
+	r.Outcome = response.Header.Get("Jv-Outcome")
+	r.Request = response.Header.Get("Jv-Request")
+	seconds, _ := strconv.Atoi(response.Header.Get("Retry-After"))
+	r.Retry = time.Duration(seconds) * time.Second
+	switch {
+	case strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream"):
+		r.readStream(response, started)
+	default:
+		r.readWhole(response, started)
+	}
+}
+
+// answerBody is the part of an answer or an error that a caller reads.
+type answerBody struct {
+	Name    string `json:"name"`
+	Message string `json:"message"`
+	Outcome string `json:"outcome"`
+	Choices []struct {
+		Message struct {
+			Content string `json:"content"`
+		} `json:"message"`
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+	} `json:"choices"`
+	Usage *struct {
+		Total int64 `json:"total_tokens"`
+	} `json:"usage"`
+	Fleet *struct {
+		Outcome string `json:"outcome"`
+		Count   int64  `json:"count"`
+		Digest  string `json:"digest"`
+	} `json:"jasminevale"`
+	Error *struct {
+		Name    string `json:"name"`
+		Message string `json:"message"`
+		Outcome string `json:"outcome"`
+	} `json:"error"`
+}
+
+func (r *Result) readWhole(response *http.Response, started time.Time) {
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		r.Outcome, r.Problem, r.Message = "", "broken", err.Error()
+		return
+	}
+	if r.Job.Slow > 0 {
+		time.Sleep(r.Job.Slow)
+	}
+	var b answerBody
+	fromFleet := r.Outcome != "done" || r.Job.Model()
+	if fromFleet {
+		if err := json.Unmarshal(data, &b); err != nil {
+			r.Problem, r.Message = "broken", err.Error()
+			return
+		}
+	}
+	if r.Outcome != "done" || b.Name != "" {
+		r.Problem, r.Message = b.Name, b.Message
+		return
+	}
+	r.FirstToken = time.Since(started)
+	if !r.Job.Model() {
+		r.Body = string(data)
+		r.checkService()
+		return
+	}
+	if len(b.Choices) == 1 && b.Usage != nil {
+		r.Tokens = b.Usage.Total
+		r.check(b.Choices[0].Message.Content, b)
+		return
+	}
+	r.Wrong = "cut: no choice or no usage"
+}
+
+// checkService compares a plain service's answer with the call.
+func (r *Result) checkService() {
+	var a jvstandin.ServiceAnswer
+	if err := json.Unmarshal([]byte(r.Body), &a); err != nil {
+		r.Wrong = "cut: " + err.Error()
+		return
+	}
+	if r.Job.Kind != KindLookup && (a.Key != r.Job.Key || !strings.Contains(a.Echo, fmt.Sprintf(`"number":%d,`, r.Job.Number))) {
+		r.Wrong = "crossed: the answer is of another call"
+	}
+	if r.Job.Kind == KindLookup && a.Path != fmt.Sprintf("/stock/%d", r.Job.Number) {
+		r.Wrong = "crossed: the answer is of another lookup"
+	}
+}
+
+// check tells whether a text is the whole answer to the job's own prompt.
+func (r *Result) check(text string, b answerBody) {
+	r.Wrong = jvstandin.CheckAnswer(r.Job.messages(), r.Job.Output, text)
+	d := sha256.Sum256([]byte(text))
+	if r.Wrong == "" && (b.Fleet == nil || b.Fleet.Digest != hex.EncodeToString(d[:])) {
+		r.Wrong = "cut: the digest does not match"
+	}
+}
+
+func (r *Result) readStream(response *http.Response, started time.Time) {
+	var text strings.Builder
+	last := started
+	lines := bufio.NewScanner(response.Body)
+	lines.Buffer(nil, 1<<20)
+	r.Outcome = ""
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok || data == "[DONE]" {
+			continue
+		}
+		var b answerBody
+		if err := json.Unmarshal([]byte(data), &b); err != nil {
+			r.Problem, r.Message = "broken", err.Error()
+			return
+		}
+		switch {
+		case b.Error != nil:
+			r.Outcome, r.Problem, r.Message = b.Error.Outcome, b.Error.Name, b.Error.Message
+			return
+		case b.Fleet != nil:
+			r.Outcome = b.Fleet.Outcome
+			if b.Usage != nil {
+				r.Tokens = b.Usage.Total
+			}
+			r.check(text.String(), b)
+			continue
+		case len(b.Choices) == 1:
+			now := time.Now()
+			if text.Len() == 0 {
+				r.FirstToken = now.Sub(started)
+			} else {
+				r.Gaps = append(r.Gaps, now.Sub(last))
+			}
+			last = now
+			text.WriteString(b.Choices[0].Delta.Content)
+		}
+		if r.Job.Slow > 0 {
+			time.Sleep(r.Job.Slow)
+		}
+	}
+	if r.Outcome == "" {
+		r.Problem, r.Message = "broken", fmt.Sprintf("the stream ended early: %v", lines.Err())
+	}
+}
--- /dev/null
+++ b/internal/jvcaller/job.go
@@ -0,0 +1,66 @@
+package jvcaller
+
+import "time"
+
+// Kind is the kind of a job.
+type Kind string
+
+// Kinds of jobs.
+const (
+	KindDraft   Kind = "draft"
+	KindQuick   Kind = "quick"
+	KindChat    Kind = "chat"
+	KindLookup  Kind = "lookup"
+	KindBooking Kind = "booking"
+	KindCharge  Kind = "charge"
+)
+
+// Job is one request with all its retries.
+type Job struct {
+	Kind Kind
+	// Number makes the job's body different from all others.
+	Number int
+	// Key is the Idempotency-Key, empty for none.
+	Key string
+	// Profile is set for model jobs, Service for the others.
+	Profile string
+	Service string
+	// Output is the largest number of tokens, Prompt the bytes of the prompt.
+	Output int64
+	Prompt int
+	// Text is put into the body, as for a request that crashes its target.
+	Text string
+	// Slow is the pause that the caller's line takes after each event.
+	Slow time.Duration
+	// First is the index of the router that is asked first.
+	First int
+}
+
+// Model tells whether the job is for a model engine.
+func (j Job) Model() bool { return j.Profile != "" }
+
+// Result is what became of a job.
+type Result struct {
+	Job     Job
+	Outcome string
+	// Problem is the name of the last problem, empty for a whole answer.
+	Problem string
+	Message string
+	Request string
+	Status  int
+	// Wrong tells what is wrong with an answer that was given as whole: cut, crossed or spliced.
+	Wrong string
+	Tries int
+	// Retry is the Retry-After of the last answer.
+	Retry time.Duration
+	// FirstToken and Total are from the first try's start.
+	FirstToken time.Duration
+	Total      time.Duration
+	Gaps       []time.Duration
+	Tokens     int64
+	// Body is a plain service's answer.
+	Body string
+}
+
+// Served tells whether the caller got a whole answer.
+func (r Result) Served() bool { return r.Outcome == "done" && r.Problem == "" }
--- /dev/null
+++ b/internal/jvconfig/pool.go
@@ -0,0 +1,129 @@
+package jvconfig
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// PoolKind is what the targets of a pool are.
+type PoolKind string
+
+// Kinds of pools.
+const (
+	PoolEngine  PoolKind = "engine"
+	PoolService PoolKind = "service"
+)
+
+// Target is one server of a pool.
+type Target struct {
+	Name string `json:"name"`
+	Zone string `json:"zone"`
+	// Address is host:port.
+	Address string `json:"address"`
+	// Slots is how many requests the target runs at once.
+	Slots int64 `json:"slots"`
+}
+
+// Call is a rule for calls of a plain service whose path begins with Prefix.
+type Call struct {
+	Method string `json:"method"`
+	Prefix string `json:"prefix"`
+	// Once marks calls that must not be repeated: they need an Idempotency-Key.
+	Once bool `json:"once"`
+}
+
+// Pool is a group of targets that can stand in for each other.
+type Pool struct {
+	Name    string   `json:"name"`
+	Kind    PoolKind `json:"kind"`
+	Targets []Target `json:"targets"`
+	// Calls are the rules of a service pool; the first that matches holds, and a call
+	// that none matches is refused.
+	Calls []Call `json:"calls,omitempty"`
+	// Deadline is in milliseconds for one call of a service pool.
+	Deadline int64 `json:"deadline,omitempty"`
+	// Attempts is how many targets an idempotent call of a service pool may be tried on.
+	Attempts int `json:"attempts,omitempty"`
+}
+
+// ParsePool reads and checks a pool.
+func ParsePool(body []byte) (Pool, error) {
+	v, err := Parse[Pool]("read pool", body)
+	if err != nil {
+		return v, err
+	}
+	return v, v.Check()
+}
+
+// Check returns everything that is wrong with the pool.
+func (v Pool) Check() error {
+	var p Problems
+	p.Name("name", v.Name)
+	if len(v.Targets) == 0 {
+		p.Add("targets", "is empty: name at least one target")
+	}
+	seen := map[string]bool{}
+	for i, t := range v.Targets {
+		path := fmt.Sprintf("targets[%d]", i)
+		p.Name(path+".name", t.Name)
+		p.Name(path+".zone", t.Zone)
+		p.Range(path+".slots", t.Slots, 1, 1<<16)
+		if !strings.Contains(t.Address, ":") {
+			p.Add(path+".address", "%q is not host:port", t.Address)
+		}
+		if seen[t.Name] {
+			p.Add(path+".name", "%q stands twice in the pool", t.Name)
+		}
+		seen[t.Name] = true
+	}
+	v.checkKind(&p)
+	return p.Err("check pool")
+}
+
+func (v Pool) checkKind(p *Problems) {
+	switch v.Kind {
+	case PoolEngine:
+		if len(v.Calls) > 0 {
+			p.Add("calls", "belong to pools of kind service only")
+		}
+	case PoolService:
+		p.Range("deadline", v.Deadline, 1, maxDeadlineMillis)
+		p.Range("attempts", int64(v.Attempts), 1, maxAttempts)
+		for i, c := range v.Calls {
+			if !strings.HasPrefix(c.Prefix, "/") {
+				p.Add(fmt.Sprintf("calls[%d].prefix", i), "%q does not begin with '/'", c.Prefix)
+			}
+			switch c.Method {
+			case http.MethodGet, http.MethodPost, http.MethodPut, http.MethodDelete:
+			default:
+				p.Add(fmt.Sprintf("calls[%d].method", i), "%q is not GET, POST, PUT or DELETE", c.Method)
+			}
+		}
+	default:
+		p.Add("kind", "%q is not a kind of pool: use engine or service", v.Kind)
+	}
+}
+
+// Limit returns the deadline of a service call as a duration.
+func (v Pool) Limit() time.Duration { return time.Duration(v.Deadline) * time.Millisecond }
+
+// Rule returns the first rule that covers a call.
+func (v Pool) Rule(method, path string) (Call, bool) {
+	for _, c := range v.Calls {
+		if c.Method == method && strings.HasPrefix(path, c.Prefix) {
+			return c, true
+		}
+	}
+	return Call{}, false
+}
+
+// WithTargets returns the pool with other targets.
+func (v Pool) WithTargets(targets ...Target) Pool {
+	v.Targets = append([]Target(nil), targets...)
+	return v
+}
+
+// ItemName returns the name that the pool is published under.
+func (v Pool) ItemName() string { return v.Name }
--- /dev/null
+++ b/internal/jvconfig/profile.go
@@ -0,0 +1,89 @@
+package jvconfig
+
+import "time"
+
+// WorkKind is the kind of work that a profile covers.
+type WorkKind string
+
+// Kinds of work.
+const (
+	WorkDraft WorkKind = "draft"
+	WorkQuick WorkKind = "quick"
+	WorkChat  WorkKind = "chat"
+)
+
+// Bounds of a profile's numbers.
+const (
+	maxOutputTokens   = 1 << 20
+	maxDeadlineMillis = 30 * 60 * 1000
+	maxAttempts       = 5
+	maxPriority       = 9
+)
+
+// Profile is a named prepaid budget with the rules for the work that it covers.
+type Profile struct {
+	Name      string   `json:"name"`
+	Workspace string   `json:"workspace"`
+	Pool      string   `json:"pool"`
+	Work      WorkKind `json:"work"`
+	// Model is the model that the pool's engines run for this profile.
+	Model string `json:"model"`
+	// Output is the largest number of tokens in one answer.
+	Output int64 `json:"output"`
+	// Deadline is in milliseconds from the request's arrival to its whole answer.
+	Deadline int64 `json:"deadline"`
+	Priority int   `json:"priority"`
+	// Attempts is how many targets one request may be tried on.
+	Attempts int `json:"attempts"`
+	// Ahead is the percentage of the unallocated budget that one claim may place in a zone:
+	// high where false refusals weigh more, low where stranded tokens do.
+	Ahead int64 `json:"ahead"`
+}
+
+// ParseProfile reads and checks a profile.
+func ParseProfile(body []byte) (Profile, error) {
+	const op = "read profile"
+	v, err := Parse[Profile](op, body)
+	if err != nil {
+		return v, err
+	}
+	return v, v.Check()
+}
+
+// Check returns everything that is wrong with the profile.
+func (v Profile) Check() error {
+	var p Problems
+	p.Name("name", v.Name)
+	p.Name("workspace", v.Workspace)
+	p.Name("pool", v.Pool)
+	p.Name("model", v.Model)
+	switch v.Work {
+	case WorkDraft, WorkQuick, WorkChat:
+	default:
+		p.Add("work", "%q is not a kind of work: use draft, quick or chat", v.Work)
+	}
+	p.Range("output", v.Output, 1, maxOutputTokens)
+	p.Range("deadline", v.Deadline, 1, maxDeadlineMillis)
+	p.Range("priority", int64(v.Priority), 0, maxPriority)
+	p.Range("attempts", int64(v.Attempts), 1, maxAttempts)
+	p.Range("ahead", v.Ahead, 1, 100)
+	return p.Err("check profile")
+}
+
+// Limit returns the deadline as a duration.
+func (v Profile) Limit() time.Duration { return time.Duration(v.Deadline) * time.Millisecond }
+
+// WithAhead returns the profile with another placement percentage.
+func (v Profile) WithAhead(percent int64) Profile {
+	v.Ahead = percent
+	return v
+}
+
+// WithOutput returns the profile with another output maximum in tokens.
+func (v Profile) WithOutput(tokens int64) Profile {
+	v.Output = tokens
+	return v
+}
+
+// ItemName returns the name that the profile is published under.
+func (v Profile) ItemName() string { return v.Name }
--- /dev/null
+++ b/internal/jvedge/operators.go
@@ -0,0 +1,56 @@
+package jvedge
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+
+	"github.com/jasminevale/jasminevale/internal/gen/operator"
+	"github.com/jasminevale/jasminevale/internal/jvfleet"
+)
+
+// Operators implements the service of the operators' port.
+type Operators struct {
+	fleet *jvfleet.Fleet
+	// stop begins a planned stop.
+	stop func()
+}
+
+// NewOperators returns the operators' service on a fleet.
+func NewOperators(fleet *jvfleet.Fleet, stop func()) *Operators {
+	return &Operators{fleet: fleet, stop: stop}
+}
+
+// Health implements operator.Service.
+func (o *Operators) Health(context.Context) (string, error) { return "ok\n", nil }
+
+// Ready implements operator.Service.
+func (o *Operators) Ready(context.Context) (string, error) {
+	if why := o.fleet.Unready(); why != "" {
+		return "", operator.Unready(why)
+	}
+	return "ready\n", nil
+}
+
+// Metrics implements operator.Service.
+func (o *Operators) Metrics(context.Context) (*operator.MetricsResult, io.ReadCloser, error) {
+	var b bytes.Buffer
+	o.fleet.Meter().Write(&b)
+	return &operator.MetricsResult{Content: "text/plain; version=0.0.4"}, io.NopCloser(&b), nil
+}
+
+// Dump implements operator.Service.
+func (o *Operators) Dump(_ context.Context, p *operator.DumpPayload) (*operator.DumpResult, io.ReadCloser, error) {
+	data, err := json.MarshalIndent(o.fleet.Dump(jvfleet.DumpQuery{Part: text(p.Part), Request: text(p.Request)}), "", "  ")
+	if err != nil {
+		return nil, nil, err
+	}
+	return &operator.DumpResult{Content: "application/json"}, io.NopCloser(bytes.NewReader(append(data, '\n'))), nil
+}
+
+// Stop implements operator.Service.
+func (o *Operators) Stop(context.Context) (string, error) {
+	o.stop()
+	return "stopping\n", nil
+}
--- /dev/null
+++ b/internal/jvfleet/bills.go
@@ -0,0 +1,151 @@
+package jvfleet
+
+import (
+	"context"
+	"sync"
+
+	"github.com/jasminevale/jasminevale/internal/jvledger"
+	"github.com/jasminevale/jasminevale/internal/jvpeer"
+	"github.com/jasminevale/jasminevale/internal/jvrecord"
+)
+
+// billBook holds the bills that the log does not have yet. A bill is handed to a witness
+// before the answer's end is told, so that it outlives this VM.
+type billBook struct {
+	mu    sync.Mutex
+	bills map[jvledger.Key]jvrecord.Bill
+	// fresh are bills that no witness has yet, with those who wait for that.
+	fresh []freshBill
+	wake  chan struct{}
+}
+
+type freshBill struct {
+	bill jvrecord.Bill
+	done chan struct{}
+}
+
+func newBillBook() *billBook {
+	return &billBook{bills: map[jvledger.Key]jvrecord.Bill{}, wake: make(chan struct{}, 1)}
+}
+
+// add keeps a bill and returns a channel that is closed when a witness has it too, or when
+// none could be reached.
+func (b *billBook) add(l jvrecord.Bill) <-chan struct{} {
+	done := make(chan struct{})
+	b.mu.Lock()
+	k, _ := jvledger.KeyOf(l.Key)
+	b.bills[k] = l
+	b.fresh = append(b.fresh, freshBill{bill: l, done: done})
+	b.mu.Unlock()
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
+	return done
+}
+
+// settle drops bills that the log has, whoever reported them.
+func (b *billBook) settle(keys []jvledger.Key) {
+	if len(keys) == 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, k := range keys {
+		delete(b.bills, k)
+	}
+}
+
+func (b *billBook) takeFresh() []freshBill {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	fresh := b.fresh
+	b.fresh = nil
+	return fresh
+}
+
+// maxBills bounds the bills in one record.
+const maxBills = 2000
+
+func (b *billBook) list() []jvrecord.Bill {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	list := make([]jvrecord.Bill, 0, min(len(b.bills), maxBills))
+	for _, l := range b.bills {
+		if len(list) == maxBills {
+			break
+		}
+		list = append(list, l)
+	}
+	return list
+}
+
+// Len returns the number of bills that the log does not have yet.
+func (b *billBook) len() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.bills)
+}
+
+// replicateBills hands new bills to a witness, all that came while the last batch was on its way.
+func (f *Fleet) replicateBills() {
+	for {
+		select {
+		case <-f.ctx.Done():
+			return
+		case <-f.bills.wake:
+		}
+		fresh := f.bills.takeFresh()
+		if len(fresh) == 0 {
+			continue
+		}
+		bills := make([]jvrecord.Bill, len(fresh))
+		for i, b := range fresh {
+			bills[i] = b.bill
+		}
+		if !f.shareBills(bills) {
+			f.meter.Unreplicated.Add(len(bills))
+		}
+		for _, b := range fresh {
+			close(b.done)
+		}
+	}
+}
+
+func (f *Fleet) shareBills(bills []jvrecord.Bill) bool {
+	s := f.current()
+	s.mu.Lock()
+	witnesses := s.witnesses
+	s.mu.Unlock()
+	for _, w := range witnesses {
+		ctx, cancel := context.WithTimeout(f.ctx, f.options.Pace.PeerTimeout)
+		ok := f.askMark(ctx, w, &jvpeer.MarkAsk{Bills: bills})
+		cancel()
+		if ok {
+			return true
+		}
+	}
+	return false
+}
+
+// report appends what the log does not have yet: spent and returned tokens, loans, bills.
+func (f *Fleet) report() {
+	s := f.current()
+	if f.stopping.Load() || !f.hasJoined(s) {
+		return
+	}
+	f.sendReport(f.ctx, s)
+	f.guard.forget(func(holder string) bool { return !f.originOpen(holder) })
+}
+
+func (f *Fleet) sendReport(ctx context.Context, s *session) {
+	r := s.report()
+	r.Bills = f.bills.list()
+	if len(r.Accounts)+len(r.Loans)+len(r.Bills) == 0 {
+		return
+	}
+	verdicts, err := f.journal.Submit(ctx, s.origin, jvrecord.Record{Report: r})
+	if err == nil && verdicts[0].Accepted() {
+		s.confirm(r)
+	}
+}
--- /dev/null
+++ b/internal/jvfleet/dump.go
@@ -0,0 +1,170 @@
+package jvfleet
+
+import (
+	"time"
+
+	"github.com/jasminevale/jasminevale/internal/jvescrow"
+	"github.com/jasminevale/jasminevale/internal/jvjournal"
+	"github.com/jasminevale/jasminevale/internal/jvledger"
+	"github.com/jasminevale/jasminevale/internal/jvtarget"
+	"github.com/jasminevale/jasminevale/internal/jvtrace"
+)
+
+// Dump is a router's state as the operators' port shows it.
+type Dump struct {
+	VM        string                                 `json:"vm"`
+	Zone      string                                 `json:"zone"`
+	At        time.Time                              `json:"at"`
+	Ready     string                                 `json:"ready"`
+	Log       *jvjournal.Status                      `json:"log,omitempty"`
+	Config    *ConfigView                            `json:"config,omitempty"`
+	Grants    *GrantsView                            `json:"grants,omitempty"`
+	Budgets   map[string]jvledger.Totals             `json:"budgets,omitempty"`
+	Billed    map[string]map[string]*jvledger.Billed `json:"billed,omitempty"`
+	Pools     map[string]jvtarget.PoolView           `json:"pools,omitempty"`
+	Members   []Member                               `json:"members,omitempty"`
+	Active    int                                    `json:"active"`
+	Retries   float64                                `json:"retries"`
+	Unsettled int                                    `json:"unsettled"`
+	Breaches  int64                                  `json:"breaches"`
+	Decisions []jvtrace.Decision                     `json:"decisions,omitempty"`
+}
+
+// ConfigView is the configuration in force in short.
+type ConfigView struct {
+	Version  uint64 `json:"version"`
+	Profiles int    `json:"profiles"`
+	Pools    int    `json:"pools"`
+}
+
+// GrantsView is what this VM holds.
+type GrantsView struct {
+	Origin    string                      `json:"origin"`
+	Witnesses []string                    `json:"witnesses"`
+	Accounts  map[string]jvescrow.Account `json:"accounts"`
+}
+
+// DumpQuery says which part of the state is wanted.
+type DumpQuery struct {
+	// Part is empty for all, or one of log, config, grants, budgets, pools, members, decisions.
+	Part string
+	// Request limits the decisions to one request.
+	Request string
+}
+
+// Dump returns the router's state.
+func (f *Fleet) Dump(q DumpQuery) Dump {
+	d := Dump{
+		VM:        f.options.VM,
+		Zone:      f.options.Zone,
+		At:        f.options.Timer.Now(),
+		Ready:     f.Unready(),
+		Active:    f.flights.Active(),
+		Retries:   f.retries.Saved(),
+		Unsettled: f.bills.len(),
+	}
+	if d.Ready == "" {
+		d.Ready = "ready"
+	}
+	wants := func(part string) bool { return q.Request == "" && (q.Part == "" || q.Part == part) }
+	if wants("log") {
+		s := f.journal.Status()
+		d.Log = &s
+	}
+	if wants("config") {
+		c := f.Catalog()
+		d.Config = &ConfigView{Version: c.Version(), Profiles: len(c.Profiles()), Pools: len(c.Pools())}
+	}
+	if wants("grants") {
+		d.Grants = f.grantsView()
+	}
+	if wants("budgets") {
+		f.dumpBudgets(&d)
+	}
+	if wants("pools") {
+		d.Pools = f.targets.Views()
+	}
+	if wants("members") {
+		d.Members = f.Members()
+	}
+	if q.Request != "" || wants("decisions") {
+		d.Decisions = f.trace.List(func(t jvtrace.Decision) bool { return q.Request == "" || t.Request == q.Request })
+	}
+	return d
+}
+
+func (f *Fleet) grantsView() *GrantsView {
+	s := f.current()
+	s.mu.Lock()
+	witnesses := originsOf(s.witnesses)
+	s.mu.Unlock()
+	return &GrantsView{Origin: s.origin, Witnesses: witnesses, Accounts: s.escrow.Snapshot()}
+}
+
+func (f *Fleet) dumpBudgets(d *Dump) {
+	d.Budgets = map[string]jvledger.Totals{}
+	d.Billed = map[string]map[string]*jvledger.Billed{}
+	f.journal.View(func(s *jvledger.State) {
+		d.Breaches = s.Breaches
+		for _, p := range s.Profiles() {
+			d.Budgets[p] = s.Totals(p)
+		}
+		for w, profiles := range s.Billed {
+			d.Billed[w] = map[string]*jvledger.Billed{}
+			for p, b := range profiles {
+				copied := *b
+				d.Billed[w][p] = &copied
+			}
+		}
+	})
+}
+
+// Unready tells why this VM should get no requests, or "".
+func (f *Fleet) Unready() string {
+	status := f.journal.Status()
+	switch {
+	case f.stopping.Load():
+		return "the VM is stopping"
+	case !status.Loaded && status.Failure != "":
+		return "the VM has no state: " + status.Failure
+	case !status.Loaded:
+		return "the VM is reading the log"
+	case f.Catalog().Version() == 0:
+		return "no configuration has been published"
+	case !f.warm.Load():
+		return "the VM has not heard from its targets yet"
+	}
+	return ""
+}
+
+// Gauges registers the values that are read when metrics are written.
+func (f *Fleet) Gauges() {
+	f.meter.Gauge("jv_log_lag_records", func() float64 {
+		s := f.journal.Status()
+		return float64(s.Head) - float64(s.Offset)
+	})
+	f.meter.Gauge("jv_log_contact_age_seconds", func() float64 {
+		return f.options.Timer.Since(f.journal.Status().Contact).Seconds()
+	})
+	f.meter.Gauge("jv_log_diverged_total", func() float64 { return float64(f.journal.Status().Diverged) })
+	f.meter.Gauge("jv_config_version", func() float64 { return float64(f.Catalog().Version()) })
+	f.meter.Gauge("jv_requests_active", func() float64 { return float64(f.flights.Active()) })
+	f.meter.Gauge("jv_bills_unsettled", func() float64 { return float64(f.bills.len()) })
+	f.meter.Gauge("jv_retries_left", f.retries.Saved)
+	f.meter.Gauge("jv_tokens_available", func() float64 {
+		var sum int64
+		for _, a := range f.current().escrow.Snapshot() {
+			sum += a.Available()
+		}
+		return float64(sum)
+	})
+	f.meter.Gauge("jv_tokens_stranded", func() float64 {
+		var sum int64
+		f.journal.View(func(s *jvledger.State) {
+			for _, p := range s.Profiles() {
+				sum += s.Totals(p).Stranded
+			}
+		})
+		return float64(sum)
+	})
+}
--- /dev/null
+++ b/internal/jvfleet/members.go
@@ -0,0 +1,194 @@
+package jvfleet
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jasminevale/jasminevale/internal/jvpeer"
+	"github.com/jasminevale/jasminevale/internal/jvplatform"
+	"github.com/jasminevale/jasminevale/internal/jvtarget"
+)
+
+// members is the VM list as last seen, and which peers have been heard of.
+type members struct {
+	mu     sync.Mutex
+	vms    []jvplatform.VM
+	at     time.Time
+	cause  string
+	loaded bool
+	// heard is when a peer's VM last asked or answered, and under which origin.
+	heard map[string]contact
+}
+
+// contact is the last sign of life of a VM.
+type contact struct {
+	origin string
+	at     time.Time
+}
+
+func newMembers() *members { return &members{heard: map[string]contact{}} }
+
+// Member is one VM of the list with its last sign of life, for the dump.
+type Member struct {
+	jvplatform.VM
+	Origin string    `json:"origin,omitempty"`
+	Heard  time.Time `json:"heard"`
+}
+
+// updateMembers reads the VM list; while it is away the last one stands.
+func (f *Fleet) updateMembers() {
+	ctx, cancel := context.WithTimeout(f.ctx, 2*f.options.Pace.Members)
+	defer cancel()
+	vms, err := f.options.VMs.List(ctx)
+	m := f.members
+	m.mu.Lock()
+	if err != nil {
+		m.cause = err.Error()
+		m.mu.Unlock()
+		return
+	}
+	changed := !slices.Equal(m.vms, vms)
+	m.vms = vms
+	m.at = f.options.Timer.Now()
+	m.cause = ""
+	m.loaded = true
+	m.mu.Unlock()
+	if changed {
+		f.targets.Leaving(leavingTargets(vms), f.Catalog())
+		f.options.Logger.Info("VM list changed", "vms", len(vms))
+	}
+	f.pingPeers()
+}
+
+func leavingTargets(vms []jvplatform.VM) []string {
+	var names []string
+	for _, v := range vms {
+		if v.Role == jvplatform.RoleTarget && v.State == jvplatform.VMLeaving {
+			names = append(names, v.Name)
+		}
+	}
+	return names
+}
+
+// peers returns the other live entry VMs, those of this zone first, then by name.
+func (f *Fleet) peers() []jvpeer.Peer {
+	f.members.mu.Lock()
+	defer f.members.mu.Unlock()
+	var list []jvpeer.Peer
+	for _, v := range f.members.vms {
+		if v.Role == jvplatform.RoleEntry && v.State == jvplatform.VMLive && v.Name != f.options.VM {
+			list = append(list, jvpeer.Peer{VM: v.Name, Zone: v.Zone, Address: v.Address})
+		}
+	}
+	slices.SortFunc(list, func(a, b jvpeer.Peer) int {
+		if near := f.far(a.Zone) - f.far(b.Zone); near != 0 {
+			return near
+		}
+		return strings.Compare(a.VM, b.VM)
+	})
+	return list
+}
+
+func (f *Fleet) far(zone string) int {
+	if zone == f.options.Zone {
+		return 0
+	}
+	return 1
+}
+
+// peer returns the entry VM of a name, leaving ones included.
+func (f *Fleet) peer(vm string) (jvpeer.Peer, bool) {
+	f.members.mu.Lock()
+	defer f.members.mu.Unlock()
+	for _, v := range f.members.vms {
+		if v.Name == vm && v.Role == jvplatform.RoleEntry {
+			return jvpeer.Peer{VM: v.Name, Zone: v.Zone, Address: v.Address}, true
+		}
+	}
+	return jvpeer.Peer{}, false
+}
+
+// heard notes a sign of life of the VM that an origin belongs to.
+func (f *Fleet) heard(vm, origin string) {
+	f.members.mu.Lock()
+	defer f.members.mu.Unlock()
+	f.members.heard[vm] = contact{origin: origin, at: f.options.Timer.Now()}
+}
+
+func (f *Fleet) lastHeard(vm string) contact {
+	f.members.mu.Lock()
+	defer f.members.mu.Unlock()
+	return f.members.heard[vm]
+}
+
+// ask sends a message to a peer and notes its sign of life.
+func (f *Fleet) ask(ctx context.Context, to jvpeer.Peer, a jvpeer.Ask) (jvpeer.Answer, error) {
+	a.From = f.current().origin
+	answer, err := f.options.Network.Ask(ctx, to, a)
+	if err == nil {
+		f.heard(to.VM, answer.From)
+	}
+	return answer, err
+}
+
+// witnessPool is how many peers a VM pings, so that it always knows whom to name next.
+const witnessPool = 4
+
+// pingPeers keeps up to date which of the nearest peers are there.
+func (f *Fleet) pingPeers() {
+	list := f.peers()
+	for _, p := range list[:min(len(list), witnessPool)] {
+		f.spawn(func() {
+			ctx, cancel := context.WithTimeout(f.ctx, f.options.Pace.Members)
+			defer cancel()
+			_, _ = f.ask(ctx, p, jvpeer.Ask{Ping: &jvpeer.PingAsk{}})
+		})
+	}
+}
+
+// pollLoads asks each target that has not reported lately for its load.
+func (f *Fleet) pollLoads() {
+	var polls sync.WaitGroup
+	for name, pool := range f.Catalog().Pools() {
+		for _, g := range pool.Targets {
+			polls.Add(1)
+			go func() {
+				defer polls.Done()
+				ctx, cancel := context.WithTimeout(f.ctx, f.options.Pace.Load)
+				defer cancel()
+				if l, err := f.options.Targets.Load(ctx, g); err == nil {
+					f.targets.Report(name, g.Name, l)
+				}
+			}()
+		}
+	}
+	polls.Wait()
+	f.crashes.advance(f.options.Timer.Now().UnixMilli())
+	f.warm.Store(true)
+}
+
+// Members returns the VM list with signs of life, for the dump.
+func (f *Fleet) Members() []Member {
+	f.members.mu.Lock()
+	defer f.members.mu.Unlock()
+	list := make([]Member, len(f.members.vms))
+	for i, v := range f.members.vms {
+		c := f.members.heard[v.Name]
+		list[i] = Member{VM: v, Origin: c.origin, Heard: c.at}
+	}
+	return list
+}
+
+// rendezvous returns the name among vms that a key hashes to.
+func rendezvous(key string, vms []string) string {
+	candidates := make([]jvtarget.Candidate, len(vms))
+	among := make([]int, len(vms))
+	for i, v := range vms {
+		candidates[i] = jvtarget.Candidate{Name: v}
+		among[i] = i
+	}
+	return vms[jvtarget.Rendezvous(candidates, among, key)]
+}
--- /dev/null
+++ b/internal/jvfleet/peers.go
@@ -0,0 +1,92 @@
+package jvfleet
+
+import (
+	"context"
+	"strings"
+
+	"github.com/jasminevale/jasminevale/internal/jvjournal"
+	"github.com/jasminevale/jasminevale/internal/jvpeer"
+
+	"github.com/jasminevale/jasminevale/internal/jvfault"
+)
+
+// Answer answers one message of a peer.
+func (f *Fleet) Answer(ctx context.Context, a jvpeer.Ask) jvpeer.Answer {
+	if vm := vmOf(a.From); vm != "" {
+		f.heard(vm, a.From)
+	}
+	s := f.current()
+	answer := jvpeer.Answer{From: s.origin}
+	switch {
+	case a.Ping != nil:
+	case a.Mark != nil:
+		answer.Mark = &jvpeer.MarkAnswer{Acknowledged: f.guard.acknowledge(a.From, a.Mark.Marks)}
+		f.guard.keep(a.From, a.Mark.Bills)
+	case a.Loan != nil:
+		answer.Loan = &jvpeer.LoanAnswer{Lent: s.lend(a.From, a.Loan.Profile, a.Loan.Tokens, a.Loan.Held)}
+	case a.Flight != nil:
+		vm := f.homes.claim(a.Flight.Key, a.Flight.VM, a.Flight.Instead, f.options.Timer.Now())
+		answer.Flight = &jvpeer.FlightAnswer{VM: vm}
+	case a.Read != nil:
+		answer.Read = f.readFlight(ctx, a.Read)
+	case a.State != nil:
+		f.answerState(&answer)
+	case a.Crash != nil:
+		f.crashes.note(a.Crash.Digest, a.Crash.Target, a.Crash.Attempt)
+	default:
+		answer.Problem = "a message of no known kind"
+	}
+	return answer
+}
+
+// vmOf returns the VM part of an origin.
+func vmOf(origin string) string {
+	i := strings.LastIndexByte(origin, '-')
+	if i < 0 {
+		return ""
+	}
+	return origin[:i]
+}
+
+func (f *Fleet) answerState(answer *jvpeer.Answer) {
+	offset, state, err := f.journal.Snapshot()
+	if err != nil {
+		answer.Problem = err.Error()
+		return
+	}
+	answer.State = &jvpeer.StateAnswer{Offset: offset, State: state}
+}
+
+// readFlight returns the next part of an answer that this VM holds, waiting for it.
+func (f *Fleet) readFlight(ctx context.Context, r *jvpeer.ReadAsk) *jvpeer.ReadAnswer {
+	fl := f.flights.Find(r.Key)
+	if fl == nil || !fl.Matches(r.Digest) {
+		return &jvpeer.ReadAnswer{Missing: true}
+	}
+	ctx, cancel := context.WithTimeout(ctx, readWait)
+	defer cancel()
+	fl.Attach()
+	defer fl.Detach()
+	events, end, _ := fl.Read(ctx, r.Index)
+	return &jvpeer.ReadAnswer{Events: events, End: end}
+}
+
+// fetchState takes the shared state from a peer, for a VM that starts while the log is away.
+func (f *Fleet) fetchState(ctx context.Context) (uint64, []byte, error) {
+	const op = "fetch state"
+	cause := jvfault.Newf(op, jvjournal.KindState, "no peer is known")
+	for _, p := range f.peers() {
+		ctx, cancel := context.WithTimeout(ctx, f.options.Journal.AppendTimeout)
+		answer, err := f.ask(ctx, p, jvpeer.Ask{State: &jvpeer.StateAsk{}})
+		cancel()
+		switch {
+		case err != nil:
+			cause = jvfault.New(op, jvjournal.KindState, err)
+		case answer.State == nil:
+			cause = jvfault.Newf(op, jvjournal.KindState, "peer %s: %s", p.VM, answer.Problem)
+		default:
+			return answer.State.Offset, answer.State.State, nil
+		}
+	}
+	return 0, nil, cause
+}
--- /dev/null
+++ b/internal/jvfleet/witness.go
@@ -0,0 +1,272 @@
+package jvfleet
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/jasminevale/jasminevale/internal/jvledger"
+	"github.com/jasminevale/jasminevale/internal/jvpeer"
+	"github.com/jasminevale/jasminevale/internal/jvrecord"
+	"github.com/jasminevale/jasminevale/internal/jvtrace"
+)
+
+// witness is a peer that acknowledges this VM's marks, under the origin that the log names.
+type witness struct {
+	peer   jvpeer.Peer
+	origin string
+}
+
+// openTranche raises a mark so that need more can be reserved.
+func (f *Fleet) openTranche(ctx context.Context, s *session, profile string, need int64, try int) *Problem {
+	a := s.escrow.Account(profile)
+	mark, _ := f.options.Policy.Mark(a, max(need, f.typicalNeed(profile)))
+	mark = max(mark, a.Use()+need)
+	if try <= shortTries && f.raiseMarks(ctx, s, map[string]int64{profile: mark}) {
+		return nil
+	}
+	return &Problem{
+		Name:    ProblemUnavailable,
+		Message: "neither a witness nor the platform's log acknowledged the use of more budget",
+		Retry:   logRetry,
+	}
+}
+
+// raiseMarks has marks acknowledged by a witness, or where none answers by the log, and
+// opens them.
+func (f *Fleet) raiseMarks(ctx context.Context, s *session, marks map[string]int64) bool {
+	epoch := s.escrow.Epoch()
+	s.mu.Lock()
+	witnesses := s.witnesses
+	s.mu.Unlock()
+	acknowledged := false
+	for _, w := range witnesses {
+		if f.askMark(ctx, w, &jvpeer.MarkAsk{Marks: marks}) {
+			acknowledged = true
+			break
+		}
+	}
+	if !acknowledged {
+		acknowledged = f.logMarks(ctx, s, witnesses, marks)
+	}
+	if !acknowledged {
+		return false
+	}
+	for profile, mark := range marks {
+		s.escrow.Open(epoch, profile, mark)
+	}
+	return true
+}
+
+func (f *Fleet) askMark(ctx context.Context, w witness, ask *jvpeer.MarkAsk) bool {
+	ctx, cancel := context.WithTimeout(ctx, f.options.Pace.PeerTimeout)
+	defer cancel()
+	answer, err := f.ask(ctx, w.peer, jvpeer.Ask{Mark: ask})
+	return err == nil && answer.From == w.origin && answer.Mark != nil && answer.Mark.Acknowledged
+}
+
+// logMarks opens marks through the log: a hello that repeats the witnesses carries them.
+func (f *Fleet) logMarks(ctx context.Context, s *session, witnesses []witness, marks map[string]int64) bool {
+	if !f.journal.Reachable(f.options.Pace.Unreachable) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.options.Pace.Unreachable)
+	defer cancel()
+	hello := &jvrecord.Hello{VM: f.options.VM, Zone: f.options.Zone, Witnesses: originsOf(witnesses), Marks: marks}
+	verdicts, err := f.journal.Submit(ctx, s.origin, jvrecord.Record{Hello: hello})
+	return err == nil && verdicts[0].Accepted()
+}
+
+func originsOf(witnesses []witness) []string {
+	var origins []string
+	for _, w := range witnesses {
+		origins = append(origins, w.origin)
+	}
+	return origins
+}
+
+// tendWitnesses names new witnesses when one of the present ones is gone, while the log can
+// take the record; until then a single one that is left suffices to open tranches.
+func (f *Fleet) tendWitnesses() {
+	s := f.current()
+	if f.stopping.Load() || !f.hasJoined(s) {
+		return
+	}
+	if f.closedByLog(s) {
+		f.renew(s)
+		return
+	}
+	if !f.journal.Reachable(f.options.Pace.Unreachable) || f.witnessesStand(s) {
+		return
+	}
+	chosen := f.chooseWitnesses()
+	s.mu.Lock()
+	none := len(s.witnesses) == 0
+	s.mu.Unlock()
+	if len(chosen) < jvledger.WitnessCount && none {
+		return
+	}
+	f.nameWitnesses(s, chosen)
+}
+
+func (f *Fleet) closedByLog(s *session) (closed bool) {
+	f.journal.View(func(state *jvledger.State) {
+		o := state.Origins[s.origin]
+		closed = o != nil && o.Closed
+	})
+	return closed
+}
+
+func (f *Fleet) nameWitnesses(s *session, chosen []witness) {
+	marks := s.escrow.Freeze()
+	hello := &jvrecord.Hello{VM: f.options.VM, Zone: f.options.Zone, Witnesses: originsOf(chosen), Marks: marks}
+	verdicts, err := f.journal.Submit(f.ctx, s.origin, jvrecord.Record{Hello: hello})
+	if err != nil || !verdicts[0].Accepted() {
+		return // The session is over; tendWitnesses renews it.
+	}
+	s.mu.Lock()
+	s.witnesses = chosen
+	s.mu.Unlock()
+	s.escrow.Thaw(len(chosen) == jvledger.WitnessCount)
+	f.trace.Note(jvtrace.Decision{Step: jvtrace.StepMember, Why: fmt.Sprintf("witnesses are %v", originsOf(chosen))})
+}
+
+// witnessesStand tells whether all witnesses are there under the origins that the log names.
+func (f *Fleet) witnessesStand(s *session) bool {
+	s.mu.Lock()
+	witnesses := s.witnesses
+	s.mu.Unlock()
+	for _, w := range witnesses {
+		c := f.lastHeard(w.peer.VM)
+		if c.origin != w.origin || f.options.Timer.Since(c.at) > f.options.Pace.Suspect {
+			return false
+		}
+	}
+	return len(witnesses) == jvledger.WitnessCount
+}
+
+// chooseWitnesses takes the nearest peers that were heard of lately and that the log knows.
+func (f *Fleet) chooseWitnesses() []witness {
+	var chosen []witness
+	for _, p := range f.peers() {
+		c := f.lastHeard(p.VM)
+		if f.options.Timer.Since(c.at) > f.options.Pace.Suspect || !f.originOpen(c.origin) {
+			continue
+		}
+		chosen = append(chosen, witness{peer: p, origin: c.origin})
+		if len(chosen) == jvledger.WitnessCount {
+			return chosen
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) originOpen(origin string) (open bool) {
+	f.journal.View(func(state *jvledger.State) {
+		o := state.Origins[origin]
+		open = o != nil && o.Joined && !o.Closed
+	})
+	return open
+}
+
+// suspectHolders promises to acknowledge nothing more for the holders that named this VM as
+// witness and are gone. The VM list and the clock only set it off; the promise is what makes
+// the reclaim safe when the holder is merely paused.
+func (f *Fleet) suspectHolders() {
+	if f.stopping.Load() {
+		return
+	}
+	s := f.current()
+	for _, h := range f.goneHolders(s) {
+		marks := f.guard.promise(h.origin)
+		bills := f.guard.bills(h.origin)
+		f.options.Logger.Info("witness gives up a holder", "holder", h.origin, "vm", h.vm, "bills", len(bills))
+		records := []jvrecord.Record{{Promise: &jvrecord.Promise{Holder: h.origin, Marks: marks}}}
+		if len(bills) > 0 {
+			records = append(records, jvrecord.Record{Report: &jvrecord.Report{Bills: bills}})
+		}
+		verdicts, err := f.journal.Submit(f.ctx, s.origin, records...)
+		if err != nil {
+			return
+		}
+		if freed := verdicts[0].Tokens; freed > 0 {
+			f.trace.Note(jvtrace.Decision{Step: jvtrace.StepBudget, Why: fmt.Sprintf("%d tokens of %s are free again", freed, h.origin)})
+			f.options.Logger.Info("grants reclaimed", "holder", h.origin, "tokens", freed)
+		}
+	}
+}
+
+// suspect is a holder that seems to be gone.
+type suspect struct {
+	origin string
+	vm     string
+}
+
+// goneHolders lists the holders of this witness that have not promised yet and whose VM is
+// off the list or runs under a newer origin.
+func (f *Fleet) goneHolders(s *session) []suspect {
+	live := f.liveVMs()
+	if live == nil {
+		return nil
+	}
+	var gone []suspect
+	f.journal.View(func(state *jvledger.State) {
+		newest := newestOrigins(state)
+		for origin, o := range state.Origins {
+			if o.Closed || !o.Joined || !contains(o.Witnesses, s.origin) {
+				continue
+			}
+			if _, promised := o.Promised[s.origin]; promised {
+				continue
+			}
+			if !live[o.VM] || newest[o.VM] != origin {
+				gone = append(gone, suspect{origin: origin, vm: o.VM})
+			}
+		}
+	})
+	var silent []suspect
+	for _, g := range gone {
+		c := f.lastHeard(g.vm)
+		if c.origin != g.origin || f.options.Timer.Since(c.at) > f.options.Pace.Suspect {
+			silent = append(silent, g)
+		}
+	}
+	return f.guard.overdue(silent, f.options.Timer.Now(), f.options.Pace.Suspect)
+}
+
+// liveVMs returns the entry VMs on the list, or nil while the list is away or not loaded.
+func (f *Fleet) liveVMs() map[string]bool {
+	f.members.mu.Lock()
+	defer f.members.mu.Unlock()
+	if !f.members.loaded || f.members.cause != "" {
+		return nil
+	}
+	live := map[string]bool{}
+	for _, v := range f.members.vms {
+		live[v.Name] = true
+	}
+	return live
+}
+
+// newestOrigins returns the origin that last joined on each VM.
+func newestOrigins(state *jvledger.State) map[string]string {
+	newest := map[string]string{}
+	for origin, o := range state.Origins {
+		if !o.Joined {
+			continue
+		}
+		held, ok := newest[o.VM]
+		if !ok || o.Since > state.Origins[held].Since {
+			newest[o.VM] = origin
+		}
+	}
+	return newest
+}
+
+func contains(list []string, s string) bool {
+	for _, l := range list {
+		if l == s {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/jvledger/budget.go
@@ -0,0 +1,59 @@
+package jvledger
+
+// Budget is a profile's prepaid tokens. At every offset
+//
+//	Prepaid = Free + Gone + sum over accounts of Holding
+//
+// and each term is at least 0.
+type Budget struct {
+	Prepaid int64 `cbor:"prepaid"`
+	Free    int64 `cbor:"free"`
+	// Gone is what closed and forgotten accounts spent or left written off.
+	Gone int64 `cbor:"gone"`
+	// GoneSpent is the part of Gone that was spent.
+	GoneSpent int64               `cbor:"gonespent"`
+	Accounts  map[string]*Account `cbor:"accounts"`
+	// Loans are cumulative, by lender and then borrower.
+	Loans map[string]map[string]int64 `cbor:"loans"`
+	// Short is the log time at which a claim last found too little, in Unix milliseconds.
+	Short int64 `cbor:"short"`
+}
+
+// Account is what one origin holds of a budget, in cumulative tokens.
+type Account struct {
+	Granted  int64 `cbor:"granted"`
+	Returned int64 `cbor:"returned"`
+	Spent    int64 `cbor:"spent"`
+	In       int64 `cbor:"in"`
+	Out      int64 `cbor:"out"`
+}
+
+// Holding returns the tokens that the origin has or has spent.
+func (a Account) Holding() int64 { return a.Granted + a.In - a.Out - a.Returned }
+
+// Left returns the tokens that the origin holds and has not reported spent.
+func (a Account) Left() int64 { return a.Holding() - a.Spent }
+
+// Totals is a budget summed up for operators, in tokens.
+type Totals struct {
+	Prepaid int64 `json:"prepaid"`
+	Spent   int64 `json:"spent"`
+	// Granted is held by open origins and not reported spent.
+	Granted int64 `json:"granted"`
+	// Stranded is held by closed or silent origins and not reported spent.
+	Stranded int64 `json:"stranded"`
+	Free     int64 `json:"free"`
+}
+
+func (b *Budget) account(origin string) *Account {
+	a := b.Accounts[origin]
+	if a == nil {
+		a = &Account{}
+		b.Accounts[origin] = a
+	}
+	return a
+}
+
+func newBudget() *Budget {
+	return &Budget{Accounts: map[string]*Account{}, Loans: map[string]map[string]int64{}}
+}
--- /dev/null
+++ b/internal/jvledger/generations.go
@@ -0,0 +1,59 @@
+package jvledger
+
+// Generations is a map that forgets: an entry is kept for at least one window after it was
+// put and for less than two. It holds two maps and drops the older one when a window ends,
+// so that forgetting costs nothing per entry.
+type Generations[K comparable, V any] struct {
+	// Window is in milliseconds of log time.
+	Window int64   `cbor:"window"`
+	Turned int64   `cbor:"turned"`
+	Young  map[K]V `cbor:"young"`
+	Old    map[K]V `cbor:"old"`
+}
+
+// NewGenerations returns an empty container with a window in milliseconds.
+func NewGenerations[K comparable, V any](window int64) *Generations[K, V] {
+	return &Generations[K, V]{Window: window, Young: map[K]V{}, Old: map[K]V{}}
+}
+
+// Advance forgets what is older than the window at log time now.
+func (g *Generations[K, V]) Advance(now int64) {
+	if now-g.Turned < g.Window {
+		return
+	}
+	g.Old = g.Young
+	if now-g.Turned >= 2*g.Window {
+		g.Old = map[K]V{}
+	}
+	g.Young = map[K]V{}
+	g.Turned = now
+}
+
+// Get returns the entry of a key.
+func (g *Generations[K, V]) Get(k K) (V, bool) {
+	if v, ok := g.Young[k]; ok {
+		return v, true
+	}
+	v, ok := g.Old[k]
+	return v, ok
+}
+
+// Put sets the entry of a key and keeps it for a window from now.
+func (g *Generations[K, V]) Put(k K, v V) {
+	delete(g.Old, k)
+	g.Young[k] = v
+}
+
+// Set changes the entry of a key that is held without keeping it longer.
+func (g *Generations[K, V]) Set(k K, v V) {
+	if _, ok := g.Young[k]; ok {
+		g.Young[k] = v
+		return
+	}
+	if _, ok := g.Old[k]; ok {
+		g.Old[k] = v
+	}
+}
+
+// Len returns the number of entries held.
+func (g *Generations[K, V]) Len() int { return len(g.Young) + len(g.Old) }
--- /dev/null
+++ b/internal/jvledger/once.go
@@ -0,0 +1,81 @@
+package jvledger
+
+import (
+	"bytes"
+	"slices"
+
+	"github.com/jasminevale/jasminevale/internal/jvrecord"
+)
+
+// applyTake gives the right to run a request to the first taker in the log's order.
+func (s *State) applyTake(origin string, t *jvrecord.Take) Verdict {
+	k, valid := KeyOf(t.Key)
+	if held, ok := s.Takes.Get(k); ok {
+		if !bytes.Equal(held.Digest, t.Digest) {
+			return Verdict{Reason: ReasonMismatch, Taken: held}
+		}
+		return Verdict{Reason: ReasonTaken, Taken: held}
+	}
+	switch {
+	case !valid:
+		return Verdict{Reason: ReasonInvalid, Detail: "the key has the wrong length"}
+	case s.stale(t.Born):
+		return Verdict{Reason: ReasonStale, Detail: "the key's own time is outside the window in which keys are remembered"}
+	case s.Takes.Len() >= s.rules.MaxTakes:
+		return Verdict{Reason: ReasonFull, Detail: "too many keys are remembered"}
+	}
+	held := Taken{Digest: t.Digest, Holder: origin, Request: t.Request}
+	s.Takes.Put(k, held)
+	return Verdict{Reason: ReasonAccepted, Taken: held}
+}
+
+// stale tells whether a key born at a time may have been forgotten already, or lies in the future.
+func (s *State) stale(born int64) bool {
+	if born == 0 {
+		return false
+	}
+	return born < s.Now-s.rules.TakeWindow+s.rules.Skew || born > s.Now+s.rules.Skew
+}
+
+// applyFinish records the outcome of a request; the first outcome stands.
+func (s *State) applyFinish(f *jvrecord.Finish) Verdict {
+	k, _ := KeyOf(f.Key)
+	held, ok := s.Takes.Get(k)
+	switch {
+	case !ok:
+		return Verdict{Reason: ReasonMissing}
+	case held.Holder != f.Holder:
+		return Verdict{Reason: ReasonInvalid, Taken: held}
+	case held.Outcome != "":
+		return Verdict{Reason: ReasonDuplicate, Taken: held}
+	}
+	held.Outcome = f.Outcome
+	held.Status = f.Status
+	held.Content = f.Content
+	if !f.Large && len(f.Body) <= s.rules.MaxAnswer && s.Answers+len(f.Body) <= s.rules.MaxAnswers {
+		held.Body = f.Body
+		s.Answers += len(f.Body)
+	} else {
+		held.Dropped = true
+	}
+	s.Takes.Set(k, held)
+	return Verdict{Reason: ReasonAccepted, Taken: held}
+}
+
+func (s *State) applyPoison(p *jvrecord.Poison) Verdict {
+	k, valid := KeyOf(p.Digest)
+	if !valid {
+		return Verdict{Reason: ReasonInvalid, Detail: "the digest has the wrong length"}
+	}
+	c, _ := s.Poison.Get(k)
+	crash := p.Target + "/" + p.Attempt
+	if slices.Contains(c.Attempts, crash) {
+		return Verdict{Reason: ReasonDuplicate}
+	}
+	if len(c.Attempts) >= s.rules.Crashes {
+		return Verdict{Reason: ReasonFull}
+	}
+	c.Attempts = append(slices.Clone(c.Attempts), crash)
+	s.Poison.Put(k, c)
+	return Verdict{Reason: ReasonAccepted}
+}
--- /dev/null
+++ b/internal/jvledger/origin.go
@@ -0,0 +1,23 @@
+package jvledger
+
+// Origin is one process start of a router or of an operator's command.
+type Origin struct {
+	VM     string `cbor:"vm"`
+	Zone   string `cbor:"zone"`
+	Number uint64 `cbor:"number"`
+	// Seen is the log time of the last batch, in Unix milliseconds.
+	Seen int64 `cbor:"seen"`
+	// Since is the offset of the origin's first hello.
+	Since uint64 `cbor:"since"`
+	// Joined is true once the origin has said hello, so that it may hold grants.
+	Joined    bool     `cbor:"joined"`
+	Witnesses []string `cbor:"witnesses"`
+	// Marks are the open marks that the origin declared when it last named its witnesses.
+	Marks map[string]int64 `cbor:"marks"`
+	// Promised holds, per witness that promised, the marks that it had acknowledged.
+	Promised map[string]map[string]int64 `cbor:"promised"`
+	// Closed is true after a planned leave, a reclaim or a write-off.
+	Closed bool `cbor:"closed"`
+	// Reclaimed is true where witnesses closed the origin.
+	Reclaimed bool `cbor:"reclaimed"`
+}
--- /dev/null
+++ b/internal/jvledger/publish.go
@@ -0,0 +1,75 @@
+package jvledger
+
+import (
+	"fmt"
+
+	"github.com/jasminevale/jasminevale/internal/jvrecord"
+)
+
+// applyPublish takes all items of a publication or none: each must be based on the
+// version in force.
+func (s *State) applyPublish(offset uint64, p *jvrecord.Publish) Verdict {
+	id := NewKey("publish", p.ID)
+	if version, ok := s.Publish.Get(id); ok {
+		return Verdict{Reason: ReasonDuplicate, Version: version}
+	}
+	version := offset + 1
+	catalog := s.catalog
+	for _, i := range p.Items {
+		held := s.Items[string(i.Kind)][i.Name]
+		if held.Version != i.Base {
+			return Verdict{
+				Reason:  ReasonConflict,
+				Version: held.Version,
+				Detail:  fmt.Sprintf("%s %s is at version %d by %s, the change was made from version %d", i.Kind, i.Name, held.Version, held.Operator, i.Base),
+			}
+		}
+		next, err := catalog.With(version, i)
+		if err != nil {
+			return Verdict{Reason: ReasonInvalid, Detail: err.Error()}
+		}
+		catalog = next
+	}
+	s.catalog = catalog
+	s.Version = version
+	for _, i := range p.Items {
+		if s.Items[string(i.Kind)] == nil {
+			s.Items[string(i.Kind)] = map[string]Item{}
+		}
+		s.Items[string(i.Kind)][i.Name] = Item{Version: version, Operator: p.Operator, Body: i.Body}
+	}
+	s.Publish.Put(id, version)
+	return Verdict{Reason: ReasonAccepted, Version: version}
+}
+
+func (s *State) applyTopup(t *jvrecord.Topup) Verdict {
+	if held, ok := s.Topups[t.ID]; ok {
+		if held.Profile != t.Profile || held.Tokens != t.Tokens {
+			return Verdict{Reason: ReasonMismatch, Detail: fmt.Sprintf("id %q topped up %s by %d", t.ID, held.Profile, held.Tokens)}
+		}
+		return Verdict{Reason: ReasonDuplicate, Tokens: held.Tokens}
+	}
+	switch {
+	case t.Tokens <= 0 || t.ID == "":
+		return Verdict{Reason: ReasonInvalid, Detail: "a top-up needs an id and more than 0 tokens"}
+	case t.Expiry <= s.Now || t.Expiry > s.Now+s.rules.MaxTopupExpiry:
+		return Verdict{Reason: ReasonExpired, Detail: "the record's expiry has passed or is too far ahead"}
+	case len(s.Topups) >= s.rules.MaxTopups:
+		return Verdict{Reason: ReasonFull, Detail: "too many top-ups are remembered; retry when older ones have expired"}
+	}
+	if _, ok := s.catalog.Profile(t.Profile); !ok {
+		return Verdict{Reason: ReasonMissing, Detail: fmt.Sprintf("there is no profile %q", t.Profile)}
+	}
+	b := s.Budgets[t.Profile]
+	if b == nil {
+		b = newBudget()
+		s.Budgets[t.Profile] = b
+	}
+	if b.Prepaid+t.Tokens < b.Prepaid {
+		return Verdict{Reason: ReasonInvalid, Detail: "the budget would overflow"}
+	}
+	b.Prepaid += t.Tokens
+	b.Free += t.Tokens
+	s.Topups[t.ID] = Topped{Profile: t.Profile, Tokens: t.Tokens, Expiry: t.Expiry}
+	return Verdict{Reason: ReasonAccepted, Tokens: t.Tokens}
+}
--- /dev/null
+++ b/internal/jvledger/rules.go
@@ -0,0 +1,50 @@
+package jvledger
+
+import "time"
+
+// Rules are the fold's windows and bounds. All VMs of a fleet must use the same rules,
+// since the fold has to come to the same state everywhere; they are not settings.
+type Rules struct {
+	// TakeWindow, BillWindow, PoisonWindow and PublishWindow are in milliseconds of log time.
+	TakeWindow    int64
+	BillWindow    int64
+	PoisonWindow  int64
+	PublishWindow int64
+	// OriginWindow is how long a closed origin is remembered, in milliseconds.
+	OriginWindow int64
+	// SilentWindow is how long an origin without witnesses may be silent before what it holds
+	// is written off for good, in milliseconds.
+	SilentWindow int64
+	// Skew is how far a key's own time may differ from the log's, in milliseconds.
+	Skew int64
+	// MaxTakes bounds the requests remembered, MaxAnswer one kept answer and MaxAnswers all
+	// kept answers, the latter two in bytes.
+	MaxTakes   int
+	MaxAnswer  int
+	MaxAnswers int
+	// MaxTopups bounds the top-ups remembered.
+	MaxTopups int
+	// MaxTopupExpiry is how far ahead a top-up may expire, in milliseconds.
+	MaxTopupExpiry int64
+	// Crashes is the number of target crashes after which a request is quarantined.
+	Crashes int
+}
+
+// DefaultRules returns the rules of this release.
+func DefaultRules() Rules {
+	return Rules{
+		TakeWindow:     (24 * time.Hour).Milliseconds(),
+		BillWindow:     (15 * time.Minute).Milliseconds(),
+		PoisonWindow:   time.Hour.Milliseconds(),
+		PublishWindow:  (24 * time.Hour).Milliseconds(),
+		OriginWindow:   (24 * time.Hour).Milliseconds(),
+		SilentWindow:   (7 * 24 * time.Hour).Milliseconds(),
+		Skew:           (30 * time.Second).Milliseconds(),
+		MaxTakes:       200_000,
+		MaxAnswer:      64 << 10,
+		MaxAnswers:     32 << 20,
+		MaxTopups:      50_000,
+		MaxTopupExpiry: (31 * 24 * time.Hour).Milliseconds(),
+		Crashes:        2,
+	}
+}
--- /dev/null
+++ b/internal/jvledger/state.go
@@ -0,0 +1,161 @@
+package jvledger
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+
+	"github.com/jasminevale/jasminevale/internal/jvcodec"
+	"github.com/jasminevale/jasminevale/internal/jvconfig"
+	"github.com/jasminevale/jasminevale/internal/jvfault"
+	"github.com/jasminevale/jasminevale/internal/jvrecord"
+)
+
+// Kind is the class of a ledger failure.
+type Kind string
+
+// Kinds of ledger failures.
+const (
+	KindMalformed Kind = "malformed"
+	KindGap       Kind = "gap"
+)
+
+// Error is a ledger failure.
+type Error = jvfault.Error[Kind]
+
+// body is the part of a State that a snapshot carries.
+type body struct {
+	Offset uint64 `cbor:"offset"`
+	// Now is the largest log time seen, in Unix milliseconds.
+	Now      int64                         `cbor:"now"`
+	Swept    int64                         `cbor:"swept"`
+	Version  uint64                        `cbor:"version"`
+	Origins  map[string]*Origin            `cbor:"origins"`
+	Items    map[string]map[string]Item    `cbor:"items"`
+	Budgets  map[string]*Budget            `cbor:"budgets"`
+	Billed   map[string]map[string]*Billed `cbor:"billed"`
+	Topups   map[string]Topped             `cbor:"topups"`
+	Takes    *Generations[Key, Taken]      `cbor:"takes"`
+	Answers  int                           `cbor:"answers"`
+	Bills    *Generations[Key, bool]       `cbor:"bills"`
+	Poison   *Generations[Key, Crashes]    `cbor:"poison"`
+	Publish  *Generations[Key, uint64]     `cbor:"publish"`
+	Breaches int64                         `cbor:"breaches"`
+	// Checked is the offset, and CheckedAt the log time, of the last check record.
+	Checked   uint64 `cbor:"checked"`
+	CheckedAt int64  `cbor:"checkedat"`
+}
+
+// State is the fold of a log up to an offset. It is not safe for concurrent use.
+type State struct {
+	body
+	rules   Rules
+	catalog *jvconfig.Catalog
+}
+
+// NewState returns the state before the first record.
+func NewState(rules Rules) *State {
+	return &State{
+		body: body{
+			Origins: map[string]*Origin{},
+			Items:   map[string]map[string]Item{},
+			Budgets: map[string]*Budget{},
+			Billed:  map[string]map[string]*Billed{},
+			Topups:  map[string]Topped{},
+			Takes:   NewGenerations[Key, Taken](rules.TakeWindow),
+			Bills:   NewGenerations[Key, bool](rules.BillWindow),
+			Poison:  NewGenerations[Key, Crashes](rules.PoisonWindow),
+			Publish: NewGenerations[Key, uint64](rules.PublishWindow),
+		},
+		rules:   rules,
+		catalog: jvconfig.NewCatalog(),
+	}
+}
+
+// Restore returns the state that a snapshot holds.
+func Restore(rules Rules, snapshot []byte) (*State, error) {
+	b, err := jvcodec.Decode[body](snapshot)
+	if err != nil {
+		return nil, jvfault.New("restore snapshot", KindMalformed, err)
+	}
+	s := NewState(rules)
+	if b.Takes == nil || b.Bills == nil || b.Poison == nil || b.Publish == nil {
+		return nil, jvfault.Newf("restore snapshot", KindMalformed, "a table is missing")
+	}
+	s.body = b
+	s.fillMaps()
+	for _, kind := range []jvrecord.ItemKind{jvrecord.ItemWorkspace, jvrecord.ItemPool, jvrecord.ItemProfile, jvrecord.ItemDrain} {
+		for name, i := range s.Items[string(kind)] {
+			item := jvrecord.Item{Kind: kind, Name: name, Body: i.Body}
+			if s.catalog, err = s.catalog.With(s.Version, item); err != nil {
+				return nil, jvfault.New("restore snapshot", KindMalformed, err)
+			}
+		}
+	}
+	return s, nil
+}
+
+// fillMaps makes the maps that CBOR leaves nil, and the nested values that a damaged
+// snapshot may leave out.
+func (s *State) fillMaps() {
+	fresh := NewState(s.rules)
+	fillMap(&s.Origins, fresh.Origins)
+	fillMap(&s.Items, fresh.Items)
+	fillMap(&s.Budgets, fresh.Budgets)
+	fillMap(&s.Billed, fresh.Billed)
+	fillMap(&s.Topups, fresh.Topups)
+	fillGenerations(s.Takes)
+	fillGenerations(s.Bills)
+	fillGenerations(s.Poison)
+	fillGenerations(s.Publish)
+	for name, b := range s.Budgets {
+		if b == nil {
+			b = newBudget()
+			s.Budgets[name] = b
+		}
+		fillMap(&b.Accounts, map[string]*Account{})
+		fillMap(&b.Loans, map[string]map[string]int64{})
+		for o, a := range b.Accounts {
+			if a == nil {
+				b.Accounts[o] = &Account{}
+			}
+		}
+	}
+	for name, o := range s.Origins {
+		if o == nil {
+			s.Origins[name] = &Origin{}
+		}
+	}
+	for w, profiles := range s.Billed {
+		for name, t := range profiles {
+			if t == nil {
+				s.Billed[w][name] = &Billed{}
+			}
+		}
+	}
+}
+
+func fillMap[K comparable, V any](m *map[K]V, empty map[K]V) {
+	if *m == nil {
+		*m = empty
+	}
+}
+
+func fillGenerations[K comparable, V any](g *Generations[K, V]) {
+	fillMap(&g.Young, map[K]V{})
+	fillMap(&g.Old, map[K]V{})
+}
+
+// Snapshot returns the state as canonical bytes; equal states have equal bytes.
+func (s *State) Snapshot() []byte { return jvcodec.Encode(&s.body) }
+
+// Hash returns the hex digest by which two VMs compare their states at one offset.
+func (s *State) Hash() string {
+	h := sha256.Sum256(s.Snapshot())
+	return hex.EncodeToString(h[:])
+}
+
+// Next returns the offset of the first record that the state does not hold yet.
+func (s *State) Next() uint64 { return s.Offset }
+
+// Catalog returns the configuration in force.
+func (s *State) Catalog() *jvconfig.Catalog { return s.catalog }
--- /dev/null
+++ b/internal/jvledger/taken.go
@@ -0,0 +1,45 @@
+package jvledger
+
+import "github.com/jasminevale/jasminevale/internal/jvrecord"
+
+// Taken is the fold's memory of a request that may run once.
+type Taken struct {
+	Digest  []byte `cbor:"digest"`
+	Holder  string `cbor:"holder"`
+	Request string `cbor:"request"`
+	// Outcome is empty while the holder has not reported one.
+	Outcome jvrecord.Outcome `cbor:"outcome"`
+	Status  int              `cbor:"status"`
+	Content string           `cbor:"content"`
+	Body    []byte           `cbor:"body"`
+	// Dropped is true where the answer was too large to be kept.
+	Dropped bool `cbor:"dropped"`
+}
+
+// Billed sums the bills of one workspace and profile.
+type Billed struct {
+	Requests int64 `cbor:"requests" json:"requests"`
+	Tokens   int64 `cbor:"tokens" json:"tokens"`
+	// Repeated counts bills that came again for a key and were not charged.
+	Repeated int64 `cbor:"repeated" json:"repeated"`
+}
+
+// Crashes lists the target crashes that a request digest was part of.
+type Crashes struct {
+	Attempts []string `cbor:"attempts"`
+}
+
+// Topped is the fold's memory of a top-up.
+type Topped struct {
+	Profile string `cbor:"profile"`
+	Tokens  int64  `cbor:"tokens"`
+	Expiry  int64  `cbor:"expiry"`
+}
+
+// Item is a configuration item in force; a removed item stays without a body, so that
+// a late duplicate of its first publication cannot bring it back.
+type Item struct {
+	Version  uint64 `cbor:"version"`
+	Operator string `cbor:"operator"`
+	Body     []byte `cbor:"body"`
+}
--- /dev/null
+++ b/internal/jvledger/view.go
@@ -0,0 +1,67 @@
+package jvledger
+
+import "slices"
+
+// Account returns what an origin holds of a profile's budget.
+func (s *State) Account(profile, origin string) (Account, bool) {
+	b := s.Budgets[profile]
+	if b == nil || b.Accounts[origin] == nil {
+		return Account{}, false
+	}
+	return *b.Accounts[origin], true
+}
+
+// Taken returns the memory of a request that may run once.
+func (s *State) Taken(k Key) (Taken, bool) { return s.Takes.Get(k) }
+
+// Quarantined tells whether a digest was part of too many target crashes.
+func (s *State) Quarantined(digest Key) bool {
+	c, _ := s.Poison.Get(digest)
+	return len(c.Attempts) >= s.rules.Crashes
+}
+
+// Totals sums up a profile's budget.
+func (s *State) Totals(profile string) Totals {
+	b := s.Budgets[profile]
+	if b == nil {
+		return Totals{}
+	}
+	t := Totals{Prepaid: b.Prepaid, Free: b.Free, Spent: b.GoneSpent, Stranded: b.Gone - b.GoneSpent}
+	for name, a := range b.Accounts {
+		t.Spent += a.Spent
+		if o := s.Origins[name]; o == nil || o.Closed {
+			t.Stranded += a.Left()
+		} else {
+			t.Granted += a.Left()
+		}
+	}
+	return t
+}
+
+// Profiles returns the names of all budgets in order.
+func (s *State) Profiles() []string {
+	names := make([]string, 0, len(s.Budgets))
+	for n := range s.Budgets {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Conserved returns the first profile whose budget does not add up or has a negative
+// term, or "".
+func (s *State) Conserved() string {
+	for _, name := range s.Profiles() {
+		b := s.Budgets[name]
+		sum := b.Free + b.Gone
+		sound := b.Free >= 0 && b.Gone >= b.GoneSpent && b.GoneSpent >= 0
+		for _, a := range b.Accounts {
+			sum += a.Holding()
+			sound = sound && a.Left() >= 0 && a.Spent >= 0 && a.Returned >= 0
+		}
+		if sum != b.Prepaid || !sound {
+			return name
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/jvlog/doc.go
@@ -0,0 +1,2 @@
+// Package jvlog makes loggers that write JSON lines.
+package jvlog
--- /dev/null
+++ b/internal/jvpeer/network.go
@@ -0,0 +1,19 @@
+package jvpeer
+
+import "context"
+
+// Peer is another VM of the fleet.
+type Peer struct {
+	VM      string `json:"vm"`
+	Zone    string `json:"zone"`
+	Address string `json:"address"`
+}
+
+// Network reaches peers.
+type Network interface {
+	// Ask sends a message to a peer and returns its answer.
+	Ask(ctx context.Context, to Peer, ask Ask) (Answer, error)
+}
+
+// Handler answers the messages of peers; it must be safe for concurrent use.
+type Handler func(ctx context.Context, ask Ask) Answer
--- /dev/null
+++ b/internal/jvrecord/claim.go
@@ -0,0 +1,41 @@
+package jvrecord
+
+// Claim asks for a grant on a profile's budget for the sending origin.
+type Claim struct {
+	Profile string `cbor:"profile"`
+	// Need is the least number of tokens of use to the sender; Want is what it would hold.
+	Need int64 `cbor:"need"`
+	Want int64 `cbor:"want"`
+}
+
+// Account is the sender's cumulative counters on one profile's budget, in tokens.
+// The larger counter wins, so a repeated report changes nothing.
+type Account struct {
+	Profile  string `cbor:"profile"`
+	Spent    int64  `cbor:"spent"`
+	Returned int64  `cbor:"returned"`
+}
+
+// Loan is the cumulative number of tokens that one origin has lent another on a budget.
+type Loan struct {
+	From    string `cbor:"from"`
+	To      string `cbor:"to"`
+	Profile string `cbor:"profile"`
+	Tokens  int64  `cbor:"tokens"`
+}
+
+// Bill charges one request to its workspace.
+type Bill struct {
+	// Key identifies the request across the fleet; empty where the caller gave no key.
+	Key       []byte `cbor:"key,omitempty"`
+	Workspace string `cbor:"workspace"`
+	Profile   string `cbor:"profile"`
+	Tokens    int64  `cbor:"tokens"`
+}
+
+// Report tells what the sender has spent, returned, lent and borrowed, and for whom.
+type Report struct {
+	Accounts []Account `cbor:"accounts,omitempty"`
+	Loans    []Loan    `cbor:"loans,omitempty"`
+	Bills    []Bill    `cbor:"bills,omitempty"`
+}
--- /dev/null
+++ b/internal/jvstandin/error.go
@@ -0,0 +1,12 @@
+package jvstandin
+
+import "github.com/jasminevale/jasminevale/internal/jvfault"
+
+// Kind is the class of a stand-in's failure.
+type Kind string
+
+// KindInvalid means that a fault or an order can't be read.
+const KindInvalid Kind = "invalid"
+
+// Error is a stand-in's failure.
+type Error = jvfault.Error[Kind]
--- /dev/null
+++ b/internal/jvstandin/fault.go
@@ -0,0 +1,155 @@
+package jvstandin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Faults are what goes wrong at a stand-in now; the zero value is that nothing does.
+type Faults struct {
+	// Down answers everything with 503.
+	Down bool `json:"down"`
+	// Slow delays every request, in milliseconds.
+	Slow int64 `json:"slow"`
+	// Lose is the number of requests that take effect and whose answers are then lost.
+	Lose int64 `json:"lose"`
+	// Late is the number of requests that break off at once and take effect Delay later.
+	Late int64 `json:"late"`
+	// Delay is in milliseconds.
+	Delay int64 `json:"delay"`
+	// Cut lists the availability zones whose requests get no answer.
+	Cut []string `json:"cut"`
+	// Crash ends the process when a request holds this text.
+	Crash string `json:"crash"`
+	// Cross is the number of answers that carry another attempt's id.
+	Cross int64 `json:"cross"`
+	// Break is the number of streams that break off after BreakAt tokens.
+	Break   int64 `json:"break"`
+	BreakAt int64 `json:"breakat"`
+	// Stall is the number of streams that fall silent after BreakAt tokens.
+	Stall int64 `json:"stall"`
+}
+
+// Switch holds a stand-in's faults and applies those that any HTTP service can have.
+type Switch struct {
+	// zones maps each availability zone to the beginning of its VMs' IP numbers.
+	zones map[string]string
+
+	mu     sync.Mutex
+	faults Faults
+}
+
+// NewSwitch returns a switch with no fault on.
+func NewSwitch(zones map[string]string) *Switch { return &Switch{zones: zones} }
+
+// Set replaces all faults.
+func (s *Switch) Set(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Now returns the faults that are on.
+func (s *Switch) Now() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// take uses up one of a counted fault.
+func (s *Switch) take(count func(f *Faults) *int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := count(&s.faults)
+	if *n <= 0 {
+		return false
+	}
+	*n--
+	return true
+}
+
+func (s *Switch) cut(remote string) bool {
+	for _, zone := range s.Now().Cut {
+		if prefix := s.zones[zone]; prefix != "" && strings.HasPrefix(remote, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
+// Wrap applies down, slow, cut, lose and late to a handler. Streams are left to the engine.
+func (s *Switch) Wrap(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.cut(r.RemoteAddr) {
+			<-r.Context().Done() // As in a network partition, nothing comes back at all.
+			panic(http.ErrAbortHandler)
+		}
+		f := s.Now()
+		if f.Slow > 0 {
+			pause(r, time.Duration(f.Slow)*time.Millisecond)
+		}
+		if f.Down {
+			http.Error(w, "down", http.StatusServiceUnavailable)
+			return
+		}
+		if r.Method != http.MethodGet && !strings.HasPrefix(r.URL.Path, "/v1/generate") {
+			if s.take(func(f *Faults) *int64 { return &f.Lose }) {
+				next.ServeHTTP(httptest.NewRecorder(), r)
+				panic(http.ErrAbortHandler)
+			}
+			if s.take(func(f *Faults) *int64 { return &f.Late }) {
+				s.applyLate(next, r, time.Duration(f.Delay)*time.Millisecond)
+			}
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// applyLate breaks the connection off and lets the request take effect later.
+func (s *Switch) applyLate(next http.Handler, r *http.Request, delay time.Duration) {
+	body, _ := io.ReadAll(r.Body)
+	go func() {
+		time.Sleep(delay)
+		late, err := http.NewRequest(r.Method, r.URL.String(), strings.NewReader(string(body)))
+		if err != nil {
+			return
+		}
+		late.Header = r.Header
+		next.ServeHTTP(httptest.NewRecorder(), late)
+	}()
+	panic(http.ErrAbortHandler)
+}
+
+func pause(r *http.Request, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-r.Context().Done():
+	}
+}
+
+// Handler lets faults be read and set.
+func (s *Switch) Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			var f Faults
+			d := json.NewDecoder(r.Body)
+			d.DisallowUnknownFields()
+			if err := d.Decode(&f); err != nil {
+				http.Error(w, err.Error(), http.StatusBadRequest)
+				return
+			}
+			s.Set(f)
+		}
+		writeJSON(w, s.Now())
+	})
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/jvstandin/weights.go
@@ -0,0 +1,68 @@
+package jvstandin
+
+import (
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Weights is a weight store that gives out a limited number of bytes a second.
+type Weights struct {
+	faults *Switch
+	// rate is in bytes a second, size the bytes of one model.
+	rate int64
+	size int64
+
+	mu    sync.Mutex
+	next  time.Time
+	count int64
+}
+
+// NewWeights returns a store.
+func NewWeights(rate, size int64, faults *Switch) *Weights {
+	return &Weights{rate: rate, size: size, faults: faults}
+}
+
+// chunk is the number of bytes given out at once.
+const chunk = 64 << 10
+
+// Handler serves models, and the switches under /admin/.
+func (s *Weights) Handler() http.Handler {
+	api := http.NewServeMux()
+	api.HandleFunc("GET /v1/weights/{model}", s.read)
+	mux := http.NewServeMux()
+	mux.Handle("/admin/fault", s.faults.Handler())
+	mux.HandleFunc("GET /admin/counts", func(w http.ResponseWriter, _ *http.Request) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		writeJSON(w, map[string]int64{"bytes": s.count})
+	})
+	mux.Handle("/", s.faults.Wrap(api))
+	return mux
+}
+
+func (s *Weights) read(w http.ResponseWriter, r *http.Request) {
+	data := make([]byte, chunk)
+	for left := s.size; left > 0; left -= chunk {
+		pause(r, s.wait(chunk))
+		if r.Context().Err() != nil {
+			return
+		}
+		if _, err := w.Write(data[:min(left, chunk)]); err != nil {
+			return
+		}
+	}
+}
+
+// wait books bytes and returns how long they have to wait for their turn.
+func (s *Weights) wait(bytes int64) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if s.next.Before(now) {
+		s.next = now
+	}
+	s.next = s.next.Add(time.Duration(bytes) * time.Second / time.Duration(s.rate))
+	s.count += bytes
+	return s.next.Sub(now)
+}
--- /dev/null
+++ b/internal/jvtarget/error.go
@@ -0,0 +1,35 @@
+package jvtarget
+
+import (
+	"time"
+
+	"github.com/jasminevale/jasminevale/internal/jvfault"
+)
+
+// Kind is the class of a refusal.
+type Kind string
+
+// Kinds of refusals.
+const (
+	// KindNone means that no target of the pool takes work.
+	KindNone Kind = "none"
+	// KindOverloaded means that the request would not be done by its deadline.
+	KindOverloaded Kind = "overloaded"
+	// KindDeadline means that the deadline passed while the request waited.
+	KindDeadline Kind = "deadline"
+)
+
+// Error is a refusal.
+type Error = jvfault.Error[Kind]
+
+// Refusal is a failure with the time after which coming back makes sense.
+type Refusal struct {
+	Cause *Error
+	Retry time.Duration
+}
+
+// Error returns the cause on one line.
+func (r *Refusal) Error() string { return r.Cause.Error() }
+
+// Unwrap returns the cause.
+func (r *Refusal) Unwrap() error { return r.Cause }
--- /dev/null
+++ b/internal/jvtarget/table.go
@@ -0,0 +1,250 @@
+package jvtarget
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jasminevale/jasminevale/internal/jvconfig"
+	"github.com/jasminevale/jasminevale/internal/jvtimer"
+)
+
+// target is what the table knows of one target.
+type target struct {
+	config  jvconfig.Target
+	load    Load
+	traffic traffic
+	health  health
+	// leaving is true while the VM list or an operator takes the target out.
+	leaving bool
+	// flights are the digests of the requests under way here, by attempt.
+	flights map[string][]byte
+	crashed string
+}
+
+// pool is the targets that can stand in for each other, with the requests that wait for them.
+type pool struct {
+	targets map[string]*target
+	waiting waitList
+	// service is a moving mean of how long a request holds a slot, in seconds.
+	service float64
+}
+
+// Table holds all pools. It is safe for concurrent use; its lock is a leaf.
+type Table struct {
+	mu     sync.Mutex
+	zone   string
+	timer  *jvtimer.Service
+	random func() float64
+	pools  map[string]*pool
+	// gone are the targets that the VM list shows as leaving.
+	gone map[string]bool
+}
+
+// NewTable returns an empty table for a router in a zone.
+func NewTable(zone string, timer *jvtimer.Service, random func() float64) *Table {
+	t := &Table{zone: zone, timer: timer, random: random, pools: map[string]*pool{}, gone: map[string]bool{}}
+	timer.Every(wakeEvery, t.wakeAll)
+	return t
+}
+
+// wakeEvery is how often waiting requests try targets whose pause may be over.
+const wakeEvery = 100 * time.Millisecond
+
+func (t *Table) wakeAll() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range t.pools {
+		p.wake(t)
+	}
+}
+
+// Configure takes over the pools and drains of a catalog. Targets that it no longer has get
+// no new work; their streams finish.
+func (t *Table) Configure(c *jvconfig.Catalog) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for name, config := range c.Pools() {
+		p := t.pools[name]
+		if p == nil {
+			p = &pool{targets: map[string]*target{}}
+			t.pools[name] = p
+		}
+		t.configurePool(p, config, c)
+		p.wake(t)
+	}
+	for name, p := range t.pools {
+		if _, ok := c.Pool(name); !ok {
+			clear(p.targets)
+			p.wake(t)
+			delete(t.pools, name)
+		}
+	}
+}
+
+func (t *Table) configurePool(p *pool, config jvconfig.Pool, c *jvconfig.Catalog) {
+	named := map[string]bool{}
+	for _, g := range config.Targets {
+		named[g.Name] = true
+		held := p.targets[g.Name]
+		if held == nil || held.config.Address != g.Address {
+			held = &target{flights: map[string][]byte{}}
+			p.targets[g.Name] = held
+		}
+		held.config = g
+		held.leaving = c.Drained(g.Name) || t.gone[g.Name]
+	}
+	for name := range p.targets {
+		if !named[name] {
+			delete(p.targets, name)
+		}
+	}
+}
+
+// Leaving takes over which targets the VM list shows as leaving.
+func (t *Table) Leaving(names []string, c *jvconfig.Catalog) {
+	t.mu.Lock()
+	t.gone = map[string]bool{}
+	for _, n := range names {
+		t.gone[n] = true
+	}
+	t.mu.Unlock()
+	t.Configure(c)
+}
+
+// Report takes over a target's load report.
+func (t *Table) Report(poolName, name string, l Load) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.pools[poolName]
+	if p == nil || p.targets[name] == nil || l.At.Before(p.targets[name].load.At) {
+		return
+	}
+	p.targets[name].load = l
+	p.wake(t)
+}
+
+// candidates lists the targets that take work now, in order of name.
+func (p *pool) candidates(t *Table, avoid []string) []Candidate {
+	now := t.timer.Now()
+	list := make([]Candidate, 0, len(p.targets))
+	for name, g := range p.targets {
+		if g.leaving || !g.health.usable(now) || slices.Contains(avoid, name) {
+			continue
+		}
+		list = append(list, Candidate{
+			Name:  name,
+			Slots: g.config.Slots,
+			Busy:  g.traffic.estimate(g.load),
+			Near:  g.config.Zone == t.zone,
+		})
+	}
+	slices.SortFunc(list, func(a, b Candidate) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+// hopeful tells whether a target that is not usable now is worth waiting for.
+func (p *pool) hopeful(avoid []string) bool {
+	for name, g := range p.targets {
+		if !g.leaving && g.health.soon() && !slices.Contains(avoid, name) {
+			return true
+		}
+	}
+	return false
+}
+
+// take gives an ask a slot, or says why there is none.
+func (p *pool) take(t *Table, a Ask) (Lease, Kind) {
+	list := p.candidates(t, a.Avoid)
+	if len(list) == 0 && !p.hopeful(a.Avoid) {
+		return Lease{}, KindNone
+	}
+	if len(list) == 0 {
+		return Lease{}, KindOverloaded
+	}
+	i := Choose(list, a.Prefix, t.random)
+	if i < 0 {
+		return Lease{}, KindOverloaded
+	}
+	c := list[i]
+	g := p.targets[c.Name]
+	g.traffic.start(a.Attempt, t.timer.Now())
+	g.flights[a.Attempt] = a.Digest
+	g.health.chosen()
+	why := fmt.Sprintf("%s has %d of %d slots busy, %d candidates, near=%t", c.Name, c.Busy, c.Slots, len(list), c.Near)
+	return Lease{Target: g.config, Attempt: a.Attempt, Why: why, table: t, pool: a.Pool}, ""
+}
+
+func (t *Table) release(l Lease, e Ending) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.pools[l.pool]
+	if p == nil || p.targets[l.Target.Name] == nil {
+		return
+	}
+	g := p.targets[l.Target.Name]
+	now := t.timer.Now()
+	if started, ok := g.traffic.starts[l.Attempt]; ok && e == EndingWorked {
+		p.learn(now.Sub(started))
+	}
+	g.traffic.finish(l.Attempt, now)
+	delete(g.flights, l.Attempt)
+	switch e {
+	case EndingWorked:
+		g.health.worked()
+	case EndingFailed:
+		g.health.failed(now)
+	case EndingUnused:
+		g.health.probing = false
+	}
+	p.wake(t)
+}
+
+// serviceWeight is the share of the newest request in the mean service time.
+const serviceWeight = 0.1
+
+func (p *pool) learn(d time.Duration) {
+	if p.service == 0 {
+		p.service = d.Seconds()
+		return
+	}
+	p.service += serviceWeight * (d.Seconds() - p.service)
+}
+
+// Instance returns the instance that a lease's target last reported, or "".
+func (t *Table) Instance(l Lease) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.pools[l.pool]
+	if p == nil || p.targets[l.Target.Name] == nil {
+		return ""
+	}
+	return p.targets[l.Target.Name].load.Instance
+}
+
+// Crashed notes that an instance of a target has died and returns the digests of the requests
+// that were under way on it, once per instance.
+func (t *Table) Crashed(l Lease, instance string) [][]byte {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.pools[l.pool]
+	if p == nil || p.targets[l.Target.Name] == nil {
+		return nil
+	}
+	g := p.targets[l.Target.Name]
+	if g.crashed == instance {
+		return nil
+	}
+	g.crashed = instance
+	digests := make([][]byte, 0, len(g.flights))
+	for _, d := range g.flights {
+		digests = append(digests, d)
+	}
+	return digests
+}
