Budgets: property over random histories, with eight deliberate faults

Ruled out: a model of the holder in the test; the history drives the router's own session, escrow and guard against the real fold instead. A batch appended again under a new number is no mutant here: cumulative counters make it harmless for budgets.

--- /dev/null
+++ b/internal/jvfleet/budget_property_test.go
@@ -0,0 +1,456 @@
+package jvfleet
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/jasminevale/jasminevale/internal/jvcodec"
+	"github.com/jasminevale/jasminevale/internal/jvescrow"
+	"github.com/jasminevale/jasminevale/internal/jvledger"
+	"github.com/jasminevale/jasminevale/internal/jvproperty"
+	"github.com/jasminevale/jasminevale/internal/jvrecord"
+)
+
+// mutant is a deliberate fault of a holder, which the property must catch.
+type mutant string
+
+const (
+	mutantNone          mutant = ""
+	mutantEarlyGrant    mutant = "spends a claim before it is read back"
+	mutantUnknownZero   mutant = "settles an unknown use at zero"
+	mutantLendUndebited mutant = "lends without a debit"
+	mutantReturnTwice   mutant = "goes on spending what it returned"
+	mutantOpenAlone     mutant = "opens marks without a witness"
+	mutantAckPromised   mutant = "acknowledges marks after a promise"
+	mutantSameOrigin    mutant = "comes back under its old origin with empty accounts"
+	mutantStaleWitness  mutant = "opens marks by a witness of an earlier set"
+)
+
+// profileP is the one profile of these histories.
+const profileP = "p"
+
+// holder is one process start in a history: the router's real session and guard, with its
+// batches under way.
+type holder struct {
+	session *session
+	guard   *guard
+	number  uint64
+	queue   []jvrecord.Record
+	batch   []byte
+	batched uint64
+	report  *jvrecord.Report
+	naming  []*holder
+	names   []*holder
+	before  []*holder
+	open    []held
+	dead    bool
+	left    bool
+}
+
+// history is a random run of holders against one fold.
+type history struct {
+	t       *rapid.T
+	fault   mutant
+	state   *jvledger.State
+	log     []jvledger.Entry
+	time    int64
+	holders []*holder
+	serial  int
+	// used is what requests truly used.
+	used int64
+}
+
+func newHistory(t *rapid.T, fault mutant) *history {
+	h := &history{t: t, fault: fault, state: jvledger.NewState(jvledger.DefaultRules()), time: 1}
+	profile := []byte(`{"name":"p","workspace":"w","pool":"e","work":"quick","model":"m","output":10,"deadline":1000,"priority":1,"attempts":2,"ahead":40}`)
+	h.appendBatch("operator", 1, jvrecord.Record{Publish: &jvrecord.Publish{
+		ID: "1", Items: []jvrecord.Item{{Kind: jvrecord.ItemProfile, Name: profileP, Body: profile}},
+	}})
+	for range 4 {
+		h.start()
+	}
+	return h
+}
+
+func (h *history) start() {
+	h.serial++
+	o := &holder{session: newSession(fmt.Sprintf("vm-%d", h.serial)), guard: newGuard()}
+	h.holders = append(h.holders, o)
+	o.queue = append(o.queue, jvrecord.Record{Hello: &jvrecord.Hello{VM: o.session.origin, Zone: "a"}})
+	h.deliver(o)
+	h.sync(o)
+}
+
+func (h *history) appendBatch(origin string, number uint64, records ...jvrecord.Record) []byte {
+	data := jvcodec.Encode(&jvrecord.Batch{Origin: origin, Number: number, Records: records})
+	h.appendData(data)
+	return data
+}
+
+func (h *history) appendData(data []byte) {
+	h.time += 10
+	e := jvledger.Entry{Offset: uint64(len(h.log)), Time: h.time, Data: data}
+	h.log = append(h.log, e)
+	_, err := h.state.Apply(e)
+	require.NoError(h.t, err)
+}
+
+// deliver appends the holder's outstanding batch, or makes one of what is queued.
+func (h *history) deliver(o *holder) {
+	if o.batch == nil {
+		if len(o.queue) == 0 {
+			return
+		}
+		o.number++
+		o.batched = o.number
+		o.batch = jvcodec.Encode(&jvrecord.Batch{Origin: o.session.origin, Number: o.number, Records: o.queue})
+		o.queue = nil
+	}
+	h.appendData(o.batch)
+}
+
+// sync lets a holder read the log up to now.
+func (h *history) sync(o *holder) {
+	if a, ok := h.state.Account(profileP, o.session.origin); ok {
+		o.session.escrow.Granted(profileP, a.Granted)
+	}
+	origin := h.state.Origins[o.session.origin]
+	if o.batch == nil || origin == nil || origin.Number < o.batched {
+		return
+	}
+	o.batch = nil
+	if o.report != nil {
+		o.session.confirm(o.report)
+		o.report = nil
+	}
+	if o.naming != nil && !origin.Closed {
+		o.before, o.names, o.naming = o.names, o.naming, nil
+		o.session.escrow.Thaw(true)
+	}
+	if origin.Closed {
+		o.session.escrow.Close()
+	}
+}
+
+// pick draws a holder that lives; it returns nil where there is none.
+func (h *history) pick(label string) *holder {
+	live := slices.DeleteFunc(slices.Clone(h.holders), func(o *holder) bool { return o.dead || o.left })
+	if len(live) == 0 {
+		return nil
+	}
+	return rapid.SampledFrom(live).Draw(h.t, label)
+}
+
+func (h *history) draw(label string, most int) int { return rapid.IntRange(0, most).Draw(h.t, label) }
+
+func (h *history) topUp() {
+	id := fmt.Sprint("topup-", h.draw("id", 2))
+	h.appendBatch("operator-"+fmt.Sprint(len(h.log)), 1, jvrecord.Record{Topup: &jvrecord.Topup{
+		ID: id, Profile: profileP, Tokens: 40, Expiry: h.time + 1_000_000,
+	}})
+}
+
+func (h *history) claim(o *holder) {
+	need := int64(1 + h.draw("need", 30))
+	o.queue = append(o.queue, jvrecord.Record{Claim: &jvrecord.Claim{Profile: profileP, Need: need, Want: 2 * need}})
+	if h.fault == mutantEarlyGrant {
+		o.session.escrow.Granted(profileP, o.session.escrow.Account(profileP).Granted+need)
+	}
+}
+
+// obtain claims and reads the grant back, as with a log that answers.
+func (h *history) obtain(o *holder) {
+	h.claim(o)
+	h.catchUp(o)
+}
+
+// catchUp delivers all that a holder has queued and lets it read the log.
+func (h *history) catchUp(o *holder) {
+	for range 2 {
+		h.deliver(o)
+		h.sync(o)
+	}
+}
+
+// serve runs a request to its end or leaves it under way.
+func (h *history) serve(o *holder) {
+	h.open(o)
+	h.reserve(o)
+	if h.draw("ends", 2) > 0 {
+		h.settle(o)
+	}
+}
+
+// giveUp lets both witnesses of a holder promise and the log have it, while the holder, dead
+// or only paused, does not read on.
+func (h *history) giveUp(o *holder) {
+	for _, w := range o.names {
+		if w.dead || w.left || w.batch != nil || len(w.queue) > 0 {
+			return
+		}
+	}
+	for _, w := range o.names {
+		marks := w.guard.promise(o.session.origin)
+		w.queue = append(w.queue, jvrecord.Record{Promise: &jvrecord.Promise{Holder: o.session.origin, Marks: marks}})
+		h.catchUp(w)
+	}
+}
+
+// lose appends a batch whose answer is lost: the holder does not read it back, and appends it
+// again at some time.
+func (h *history) lose(o *holder) {
+	h.deliver(o)
+}
+
+func (h *history) reserve(o *holder) {
+	r, err := o.session.escrow.Reserve(profileP, int64(1+h.draw("tokens", 20)))
+	if err == nil {
+		o.open = append(o.open, held{Reservation: r, session: o.session})
+	}
+}
+
+func (h *history) settle(o *holder) {
+	if len(o.open) == 0 {
+		return
+	}
+	r := o.open[0]
+	o.open = o.open[1:]
+	used := max(0, r.Tokens-int64(h.draw("unused", 4)))
+	h.used += used
+	switch {
+	case h.draw("known", 2) == 1:
+		r.settle(used)
+	case h.fault == mutantUnknownZero:
+		r.settle(0)
+	default:
+		r.settle(r.Tokens)
+	}
+}
+
+func (h *history) lend(from, to *holder) {
+	if from == to {
+		return
+	}
+	s := from.session
+	sum := s.lend(to.session.origin, profileP, int64(1+h.draw("loan", 20)), to.session.borrowedFrom(s.origin, profileP))
+	if h.fault == mutantLendUndebited {
+		s.escrow.Borrow(profileP, max(0, sum-to.session.borrowedFrom(s.origin, profileP)))
+	}
+	if h.draw("answered", 3) > 0 {
+		to.session.borrow(s.origin, profileP, sum)
+	}
+}
+
+func (h *history) giveBack(o *holder) {
+	back := o.session.escrow.Return(profileP, int64(1+h.draw("back", 30)))
+	if h.fault == mutantReturnTwice {
+		o.session.escrow.Borrow(profileP, back)
+	}
+}
+
+func (h *history) queueReport(o *holder) {
+	if o.report != nil || o.batch != nil {
+		return
+	}
+	o.report = o.session.report()
+	o.queue = append(o.queue, jvrecord.Record{Report: o.report})
+}
+
+// name begins to name witnesses: marks freeze until the log has the record.
+func (h *history) name(o *holder) {
+	var others []*holder
+	for _, w := range h.holders {
+		if w != o && !w.dead && !w.left {
+			others = append(others, w)
+		}
+	}
+	if o.naming != nil || o.batch != nil || len(others) < jvledger.WitnessCount {
+		return
+	}
+	at := h.draw("witness", len(others)-1)
+	o.naming = []*holder{others[at], others[(at+1)%len(others)]}
+	hello := &jvrecord.Hello{VM: o.session.origin, Zone: "a", Marks: o.session.escrow.Freeze()}
+	for _, w := range o.naming {
+		hello.Witnesses = append(hello.Witnesses, w.session.origin)
+	}
+	o.queue = append(o.queue, jvrecord.Record{Hello: hello})
+}
+
+// open asks one witness to acknowledge a mark; its answer may come after the set has changed.
+func (h *history) open(o *holder) {
+	asked := o.names
+	if h.fault == mutantStaleWitness && len(o.before) > 0 {
+		asked = o.before
+	}
+	if len(asked) == 0 {
+		return
+	}
+	a := o.session.escrow.Account(profileP)
+	mark, due := jvescrow.ClaimPolicy{TrancheRequests: 8}.Mark(a, 2)
+	if !due {
+		return
+	}
+	epoch := o.session.escrow.Epoch()
+	w := asked[h.draw("asked", len(asked)-1)]
+	if h.fault == mutantOpenAlone {
+		o.session.escrow.Open(epoch, profileP, mark)
+		return
+	}
+	acknowledged := !w.dead && !w.left && w.guard.acknowledge(o.session.origin, map[string]int64{profileP: mark})
+	if acknowledged || h.fault == mutantAckPromised {
+		o.session.escrow.Open(epoch, profileP, mark)
+	}
+}
+
+// promise lets a witness give up a holder, whether that is dead or only slow.
+func (h *history) promise(w *holder) {
+	for _, o := range h.holders {
+		origin := h.state.Origins[o.session.origin]
+		if origin == nil || origin.Closed || !slices.Contains(origin.Witnesses, w.session.origin) {
+			continue
+		}
+		if w.batch != nil || h.draw("give up", 2) > 0 {
+			continue
+		}
+		marks := w.guard.promise(o.session.origin)
+		w.queue = append(w.queue, jvrecord.Record{Promise: &jvrecord.Promise{Holder: o.session.origin, Marks: marks}})
+		return
+	}
+}
+
+// kill ends a holder; what it had reserved may have been used in full.
+func (h *history) kill(o *holder) {
+	o.dead = true
+	for _, r := range o.open {
+		h.used += r.Tokens
+	}
+	o.open = nil
+	if h.fault == mutantSameOrigin {
+		back := &holder{session: newSession(o.session.origin), guard: newGuard(), number: o.number}
+		h.holders = append(h.holders, back)
+		h.sync(back)
+	}
+}
+
+// leave ends a holder as planned, with requests under way counted at their worst case.
+func (h *history) leave(o *holder) {
+	if o.batch != nil || o.report != nil || o.naming != nil {
+		return
+	}
+	for _, r := range o.open {
+		h.used += r.Tokens
+	}
+	o.open = nil
+	o.session.escrow.Abandon()
+	o.queue = append(o.queue, jvrecord.Record{Report: o.session.report()}, jvrecord.Record{Leave: &jvrecord.Leave{}})
+	h.deliver(o)
+	o.left = true
+}
+
+// repeat appends an old batch once more, as a late duplicate does.
+func (h *history) repeat() {
+	h.appendData(h.log[h.draw("old", len(h.log)-1)].Data)
+}
+
+// restore goes on from a snapshot.
+func (h *history) restore() {
+	s, err := jvledger.Restore(jvledger.DefaultRules(), h.state.Snapshot())
+	require.NoError(h.t, err)
+	h.state = s
+}
+
+// check compares what was truly used, or may still be, with what was prepaid.
+func (h *history) check() {
+	budget := h.state.Budgets[profileP]
+	if budget == nil {
+		return
+	}
+	use := h.used
+	for _, o := range h.holders {
+		for _, r := range o.open {
+			use += r.Tokens
+		}
+	}
+	require.LessOrEqual(h.t, use, budget.Prepaid, "tokens used and reserved against tokens prepaid")
+	require.Empty(h.t, h.state.Conserved(), "a budget does not add up: %+v", budget)
+	require.Zero(h.t, h.state.Breaches, "a holder reported more than the fold knows it to hold")
+}
+
+func (h *history) with(do func(*holder)) func(*rapid.T) {
+	return func(t *rapid.T) {
+		h.t = t
+		if o := h.pick("holder"); o != nil {
+			do(o)
+		}
+	}
+}
+
+// seldom does something one time in six, so that budgets outlive their holders.
+func (h *history) seldom(do func(*holder)) func(*rapid.T) {
+	return h.with(func(o *holder) {
+		if h.draw("really", 5) == 0 {
+			do(o)
+		}
+	})
+}
+
+// runHistory draws a history; it fails where the property is broken.
+func runHistory(t *rapid.T, fault mutant) {
+	h := newHistory(t, fault)
+	t.Repeat(map[string]func(*rapid.T){
+		"":        func(t *rapid.T) { h.t = t; h.check() },
+		"topup":   func(t *rapid.T) { h.t = t; h.topUp() },
+		"claim":   h.with(h.claim),
+		"deliver": h.with(func(o *holder) { h.deliver(o); h.sync(o) }),
+		"lose":    h.with(h.lose),
+		"sync":    h.with(h.sync),
+		"obtain":  h.with(h.obtain),
+		"serve":   h.with(h.serve),
+		"serve2":  h.with(h.serve),
+		"reserve": h.with(h.reserve),
+		"settle":  h.with(h.settle),
+		"lend":    h.with(func(o *holder) { h.lend(o, h.pick("borrower")) }),
+		"back":    h.with(h.giveBack),
+		"report":  h.with(h.queueReport),
+		"name":    h.with(h.name),
+		"rename":  h.with(func(o *holder) { h.name(o); h.catchUp(o) }),
+		"rename2": h.with(func(o *holder) { h.name(o); h.catchUp(o); h.serve(o) }),
+		"giveup":  h.with(h.giveUp),
+		"giveup2": h.with(h.giveUp),
+		"open":    h.with(h.open),
+		"promise": h.with(h.promise),
+		"kill":    h.seldom(func(o *holder) { h.kill(o); h.start() }),
+		"leave":   h.seldom(func(o *holder) { h.leave(o); h.start() }),
+		"repeat":  func(t *rapid.T) { h.t = t; h.repeat() },
+		"restore": func(t *rapid.T) { h.t = t; h.restore() },
+	})
+	again := jvledger.NewState(jvledger.DefaultRules())
+	for _, e := range h.log {
+		_, err := again.Apply(e)
+		require.NoError(t, err)
+	}
+	require.Equal(t, again.Hash(), h.state.Hash(), "a fold restored from snapshots differs from one from the beginning")
+}
+
+// TestBudgetProperty: spend stays within what was prepaid in every history.
+func TestBudgetProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { runHistory(t, mutantNone) })
+}
+
+// TestBudgetMutants: the property fails for every deliberate fault of a holder.
+func TestBudgetMutants(t *testing.T) {
+	for _, fault := range []mutant{
+		mutantEarlyGrant, mutantUnknownZero, mutantLendUndebited, mutantReturnTwice,
+		mutantOpenAlone, mutantAckPromised, mutantSameOrigin, mutantStaleWitness,
+	} {
+		t.Run(string(fault), func(t *testing.T) {
+			caught, how := jvproperty.Caught(t, func(t *rapid.T) { runHistory(t, fault) })
+			require.True(t, caught, "the property did not notice the fault")
+			t.Log(how)
+		})
+	}
+}
