--- a/internal/jvescrow/account.go
+++ b/internal/jvescrow/account.go
@@ -24,9 +24,12 @@
 // Use returns what a mark has to cover: what is spent, promised to requests, or lent.
 func (a Account) Use() int64 { return a.Spent + a.Reserved + a.Out }
 
-// Lendable returns the tokens that may be lent or returned. Borrowed tokens are never passed
-// on, so that a reader of the log never sees a loan of what its lender did not hold yet.
+// Lendable returns the tokens that may be lent or returned: granted ones that nothing has
+// been spent or reserved of. Spending counts against the VM's own grant first even where it
+// was covered by a loan, since the log may learn of the passed-on token before it learns of
+// the borrowed one: with 1 granted, 1 borrowed and 1 spent, lending the granted token on
+// would show the log a VM that holds less than nothing until its next report.
 func (a Account) Lendable() int64 {
-	own := a.Granted - a.Out - a.Returned - max(0, a.Spent+a.Reserved-a.In)
+	own := a.Granted - a.Out - a.Returned - a.Spent - a.Reserved
 	return max(0, min(a.Available(), own))
 }
--- a/internal/jvfleet/bills.go
+++ b/internal/jvfleet/bills.go
@@ -1,7 +1,10 @@
 package jvfleet
 
 import (
+	"cmp"
 	"context"
+	"maps"
+	"slices"
 	"sync"
 
 	"github.com/jasminevale/jasminevale/internal/jvledger"
@@ -13,7 +16,7 @@
 // before the answer's end is told, so that it outlives this VM.
 type billBook struct {
 	mu    sync.Mutex
-	bills map[jvledger.Key]jvrecord.Bill
+	bills map[jvledger.BillName]jvrecord.Bill
 	// fresh are bills that no witness has yet, with those who wait for that.
 	fresh []freshBill
 	wake  chan struct{}
@@ -24,8 +27,12 @@
 	done chan struct{}
 }
 
+func nameOf(b jvrecord.Bill) jvledger.BillName {
+	return jvledger.BillName{Origin: b.Origin, Serial: b.Serial}
+}
+
 func newBillBook() *billBook {
-	return &billBook{bills: map[jvledger.Key]jvrecord.Bill{}, wake: make(chan struct{}, 1)}
+	return &billBook{bills: map[jvledger.BillName]jvrecord.Bill{}, wake: make(chan struct{}, 1)}
 }
 
 // add keeps a bill and returns a channel that is closed when a witness has it too, or when
@@ -33,8 +40,7 @@
 func (b *billBook) add(l jvrecord.Bill) <-chan struct{} {
 	done := make(chan struct{})
 	b.mu.Lock()
-	k, _ := jvledger.KeyOf(l.Key)
-	b.bills[k] = l
+	b.bills[nameOf(l)] = l
 	b.fresh = append(b.fresh, freshBill{bill: l, done: done})
 	b.mu.Unlock()
 	select {
@@ -45,14 +51,14 @@
 }
 
 // settle drops bills that the log has, whoever reported them.
-func (b *billBook) settle(keys []jvledger.Key) {
-	if len(keys) == 0 {
+func (b *billBook) settle(names []jvledger.BillName) {
+	if len(names) == 0 {
 		return
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, k := range keys {
-		delete(b.bills, k)
+	for _, n := range names {
+		delete(b.bills, n)
 	}
 }
 
@@ -70,17 +76,12 @@
 func (b *billBook) list() []jvrecord.Bill {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	list := make([]jvrecord.Bill, 0, min(len(b.bills), maxBills))
-	for _, l := range b.bills {
-		if len(list) == maxBills {
-			break
-		}
-		list = append(list, l)
-	}
-	return list
+	list := slices.Collect(maps.Values(b.bills))
+	slices.SortFunc(list, func(a, b jvrecord.Bill) int { return cmp.Compare(a.Serial, b.Serial) })
+	return list[:min(len(list), maxBills)]
 }
 
-// Len returns the number of bills that the log does not have yet.
+// len returns the number of bills that the log does not have yet.
 func (b *billBook) len() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -140,7 +141,7 @@
 
 func (f *Fleet) sendReport(ctx context.Context, s *session) {
 	r := s.report()
-	r.Bills = f.bills.list()
+	r.Bills = append(f.bills.list(), f.guard.late(f.options.Timer.Now(), f.options.Pace.Suspect)...)
 	if len(r.Accounts)+len(r.Loans)+len(r.Bills) == 0 {
 		return
 	}
--- a/internal/jvfleet/budget_property_test.go
+++ b/internal/jvfleet/budget_property_test.go
@@ -67,7 +67,7 @@
 func newHistory(t *rapid.T, fault mutant) *history {
 	h := &history{t: t, fault: fault, state: jvledger.NewState(jvledger.DefaultRules()), time: 1}
 	profile := []byte(`{"name":"p","workspace":"w","pool":"e","work":"quick","model":"m","output":10,"deadline":1000,"priority":1,"attempts":2,"ahead":40}`)
-	h.appendBatch("operator", 1, jvrecord.Record{Publish: &jvrecord.Publish{
+	h.operate(jvrecord.Record{Publish: &jvrecord.Publish{
 		ID: "1", Items: []jvrecord.Item{{Kind: jvrecord.ItemProfile, Name: profileP, Body: profile}},
 	}})
 	for range 4 {
@@ -85,10 +85,10 @@
 	h.sync(o)
 }
 
-func (h *history) appendBatch(origin string, number uint64, records ...jvrecord.Record) []byte {
-	data := jvcodec.Encode(&jvrecord.Batch{Origin: origin, Number: number, Records: records})
-	h.appendData(data)
-	return data
+// operate appends records as an operator's command does, under an origin of its own.
+func (h *history) operate(records ...jvrecord.Record) {
+	origin := fmt.Sprint("operator-", len(h.log))
+	h.appendData(jvcodec.Encode(&jvrecord.Batch{Origin: origin, Number: 1, Records: records}))
 }
 
 func (h *history) appendData(data []byte) {
@@ -149,7 +149,7 @@
 
 func (h *history) topUp() {
 	id := fmt.Sprint("topup-", h.draw("id", 2))
-	h.appendBatch("operator-"+fmt.Sprint(len(h.log)), 1, jvrecord.Record{Topup: &jvrecord.Topup{
+	h.operate(jvrecord.Record{Topup: &jvrecord.Topup{
 		ID: id, Profile: profileP, Tokens: 40, Expiry: h.time + 1_000_000,
 	}})
 }
--- a/internal/jvfleet/guard.go
+++ b/internal/jvfleet/guard.go
@@ -20,17 +20,23 @@
 type ward struct {
 	marks    map[string]int64
 	promised bool
-	bills    map[jvledger.Key]jvrecord.Bill
+	bills    map[jvledger.BillName]keptBill
 	// missed is when the holder was first found to be gone.
 	missed time.Time
 }
 
+// keptBill is a bill with the time since when this VM has it.
+type keptBill struct {
+	bill  jvrecord.Bill
+	since time.Time
+}
+
 func newGuard() *guard { return &guard{holders: map[string]*ward{}} }
 
 func (g *guard) ward(holder string) *ward {
 	w := g.holders[holder]
 	if w == nil {
-		w = &ward{marks: map[string]int64{}, bills: map[jvledger.Key]jvrecord.Bill{}}
+		w = &ward{marks: map[string]int64{}, bills: map[jvledger.BillName]keptBill{}}
 		g.holders[holder] = w
 	}
 	return w
@@ -51,27 +57,25 @@
 }
 
 // keep holds bills for a holder until the log has them.
-func (g *guard) keep(holder string, bills []jvrecord.Bill) {
+func (g *guard) keep(holder string, bills []jvrecord.Bill, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	w := g.ward(holder)
 	for _, b := range bills {
-		if k, ok := jvledger.KeyOf(b.Key); ok {
-			w.bills[k] = b
-		}
+		w.bills[nameOf(b)] = keptBill{bill: b, since: now}
 	}
 }
 
 // settle drops bills that the log has.
-func (g *guard) settle(keys []jvledger.Key) {
-	if len(keys) == 0 {
+func (g *guard) settle(names []jvledger.BillName) {
+	if len(names) == 0 {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, w := range g.holders {
-		for _, k := range keys {
-			delete(w.bills, k)
+	for _, n := range names {
+		if w := g.holders[n.Origin]; w != nil {
+			delete(w.bills, n)
 		}
 	}
 }
@@ -90,7 +94,22 @@
 	defer g.mu.Unlock()
 	var list []jvrecord.Bill
 	for _, b := range g.ward(holder).bills {
-		list = append(list, b)
+		list = append(list, b.bill)
+	}
+	return list
+}
+
+// late returns bills that the log should have by now: their holder is paused or cut off.
+func (g *guard) late(now time.Time, after time.Duration) []jvrecord.Bill {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var list []jvrecord.Bill
+	for _, w := range g.holders {
+		for _, b := range w.bills {
+			if now.Sub(b.since) >= after && len(list) < maxBills {
+				list = append(list, b.bill)
+			}
+		}
 	}
 	return list
 }
--- a/internal/jvfleet/model.go
+++ b/internal/jvfleet/model.go
@@ -178,12 +178,11 @@
 	f, q := m.fleet, m.request
 	prompt := max(usage.Prompt-before, 0)
 	output := before + usage.Output
-	done := f.bills.add(jvrecord.Bill{
-		Key:       q.Key[:],
-		Workspace: q.Workspace,
-		Profile:   q.Model.Profile.Name,
-		Tokens:    prompt + output,
-	})
+	bill := jvrecord.Bill{Workspace: q.Workspace, Profile: q.Model.Profile.Name, Tokens: prompt + output}
+	if q.Keyed {
+		bill.Key = q.Key[:]
+	}
+	done := f.bills.add(f.current().bill(bill))
 	select {
 	case <-done:
 	case <-f.ctx.Done():
--- a/internal/jvfleet/session.go
+++ b/internal/jvfleet/session.go
@@ -24,6 +24,8 @@
 	// reported is what the log is known to have.
 	reported map[string]jvrecord.Account
 	told     map[loanPair]int64
+	// serial counts the bills of requests that ran under this origin.
+	serial uint64
 }
 
 // loanPair identifies the two sides of loans on a profile.
@@ -61,6 +63,15 @@
 	return sum + lent
 }
 
+// bill gives a bill its name under this origin.
+func (s *session) bill(l jvrecord.Bill) jvrecord.Bill {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.serial++
+	l.Origin, l.Serial = s.origin, s.serial
+	return l
+}
+
 // borrow credits what a lender says that it has lent in all, and returns what was new.
 func (s *session) borrow(from, profile string, sum int64) int64 {
 	s.mu.Lock()
--- a/internal/jvledger/apply.go
+++ b/internal/jvledger/apply.go
@@ -17,6 +17,12 @@
 	Data []byte
 }
 
+// BillName identifies one bill.
+type BillName struct {
+	Origin string
+	Serial uint64
+}
+
 // Applied is what the fold made of one entry.
 type Applied struct {
 	Offset   uint64
@@ -26,8 +32,8 @@
 	// Check is true where the entry holds a check record, Stated is set where it states a hash.
 	Check  bool
 	Stated *jvrecord.Check
-	// Bills are the keys of the bills in the entry, whether they counted or were repeats.
-	Bills []Key
+	// Bills names the bills in the entry, whether they counted or were repeats.
+	Bills []BillName
 	// Version is the configuration version after the entry.
 	Version uint64
 }
@@ -54,9 +60,7 @@
 	for _, r := range batch.Records {
 		if r.Report != nil {
 			for _, l := range r.Report.Bills {
-				if k, ok := KeyOf(l.Key); ok {
-					applied.Bills = append(applied.Bills, k)
-				}
+				applied.Bills = append(applied.Bills, BillName{Origin: l.Origin, Serial: l.Serial})
 			}
 		}
 		if r.Check != nil && r.Check.Of > 0 {
--- a/internal/jvledger/grant.go
+++ b/internal/jvledger/grant.go
@@ -110,6 +110,10 @@
 
 func (s *State) applyBills(bills []jvrecord.Bill) {
 	for _, l := range bills {
+		o := s.Origins[l.Origin]
+		if o == nil || !o.bill(l.Serial) {
+			continue
+		}
 		t := s.billed(l.Workspace, l.Profile)
 		if k, ok := KeyOf(l.Key); ok {
 			if _, ok := s.Bills.Get(k); ok {
--- a/internal/jvledger/rules.go
+++ b/internal/jvledger/rules.go
@@ -5,6 +5,8 @@
 // Rules are the fold's windows and bounds. All VMs of a fleet must use the same rules,
 // since the fold has to come to the same state everywhere; they are not settings.
 type Rules struct {
+	// BillWindow must be longer than the partitions to be survived: a key that ran in two zones
+	// is billed once only if the second bill comes while the first is remembered.
 	// TakeWindow, BillWindow, PoisonWindow and PublishWindow are in milliseconds of log time.
 	TakeWindow    int64
 	BillWindow    int64
@@ -34,7 +36,7 @@
 func DefaultRules() Rules {
 	return Rules{
 		TakeWindow:     (24 * time.Hour).Milliseconds(),
-		BillWindow:     (15 * time.Minute).Milliseconds(),
+		BillWindow:     (2 * time.Hour).Milliseconds(),
 		PoisonWindow:   time.Hour.Milliseconds(),
 		PublishWindow:  (24 * time.Hour).Milliseconds(),
 		OriginWindow:   (24 * time.Hour).Milliseconds(),
--- a/internal/jvrecord/claim.go
+++ b/internal/jvrecord/claim.go
@@ -26,6 +26,10 @@
 
 // Bill charges one request to its workspace.
 type Bill struct {
+	// Origin ran the request, and Serial counts its bills from 1: whoever reports the bill,
+	// the origin itself or a witness of it, the fold takes it once.
+	Origin string `cbor:"origin"`
+	Serial uint64 `cbor:"serial"`
 	// Key identifies the request across the fleet; empty where the caller gave no key.
 	Key       []byte `cbor:"key,omitempty"`
 	Workspace string `cbor:"workspace"`
--- a/internal/jvstandin/answer.go
+++ b/internal/jvstandin/answer.go
@@ -24,11 +24,11 @@
 	return least + int64(d[0])*(limit-least)/255
 }
 
-// token returns the text of one token: prompt, run and index.
-func token(tag, run string, index int64) string { return fmt.Sprintf("%s-%s.%d ", tag, run, index) }
+// Token returns the text of one token: prompt, run and index.
+func Token(tag, run string, index int64) string { return fmt.Sprintf("%s-%s.%d ", tag, run, index) }
 
-// runOf returns the run that an answer's beginning belongs to, or fresh.
-func runOf(prefix, fresh string) string {
+// RunOf returns the run that an answer's beginning belongs to, or fresh.
+func RunOf(prefix, fresh string) string {
 	first, _, found := strings.Cut(prefix, ".")
 	_, run, cut := strings.Cut(first, "-")
 	if !found || !cut {
@@ -45,12 +45,12 @@
 		return fmt.Sprintf("cut: %d of %d tokens", len(tokens), want)
 	}
 	tag := PromptTag(messages)
-	run := runOf(text, "")
+	run := RunOf(text, "")
 	for i, t := range tokens {
 		switch {
 		case !strings.HasPrefix(t, tag+"-"):
 			return fmt.Sprintf("crossed: token %d is %q", i, t)
-		case t+" " != token(tag, run, int64(i)):
+		case t+" " != Token(tag, run, int64(i)):
 			return fmt.Sprintf("spliced: token %d is %q", i, t)
 		}
 	}
--- a/internal/jvstandin/stream.go
+++ b/internal/jvstandin/stream.go
@@ -77,3 +77,13 @@
 		}
 	}
 }
+
+// Trim drops all but the newest entries.
+func (s *Stream) Trim(keep int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if drop := len(s.entries) - keep; drop > 0 {
+		s.entries = s.entries[drop:]
+		s.first += uint64(drop)
+	}
+}
