End-to-end tests on real processes; a claim given up frees its key

Cause: a booking given up while the log was away stayed claimed: the goroutine that gets the late verdict chose at random between handing it over and giving it back. Ruled out: the stand-in's log (its appends were right). Change: the verdict is handed over once, by compare-and-swap; a claim that was given up is recorded as free, since nobody was told notrun, so the same key runs later. Before: TestClaimGivenUp fails; after: passes. Also: test fleets take their ports from below the ephemeral range, which had collided once.

--- /dev/null
+++ b/cmd/jvload/callers_test.go
@@ -0,0 +1,249 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+	"github.com/stretchr/testify/require"
+
+	"github.com/jasminevale/jasminevale/internal/jvcaller"
+	"github.com/jasminevale/jasminevale/internal/jvharness"
+)
+
+// badInput is one thing that a caller may send.
+type badInput struct {
+	name    string
+	method  string
+	path    string
+	headers map[string]string
+	body    string
+}
+
+// chatPath and the bodies below are what bad inputs vary.
+const (
+	chatPath = "/v1/chat/completions"
+	deskPath = "/v1/services/desk/"
+	goodChat = `{"model":"quick","messages":[{"role":"user","content":"hello"}]}`
+)
+
+func badInputs() []badInput {
+	chat := func(name, body string) badInput {
+		return badInput{name: name, method: "POST", path: chatPath, body: body}
+	}
+	with := func(b badInput, header, value string) badInput {
+		b.headers = map[string]string{header: value}
+		return b
+	}
+	call := func(name, method, path string) badInput {
+		return badInput{name: name, method: method, path: path, body: "{}"}
+	}
+	return []badInput{
+		chat("empty body", ""),
+		chat("not JSON", "hello"),
+		chat("cut off JSON", `{"model":"quick","messages":[{"role"`),
+		chat("more after the end", goodChat+goodChat),
+		chat("bad UTF-8", "{\"model\":\"quick\",\"messages\":[{\"role\":\"user\",\"content\":\"\xff\xfe\"}]}"),
+		chat("deeply nested", `{"model":"quick","messages":`+strings.Repeat("[", 20000)),
+		chat("no messages", `{"model":"quick"}`),
+		chat("empty messages", `{"model":"quick","messages":[]}`),
+		chat("messages of another type", `{"model":"quick","messages":"hello"}`),
+		chat("message without a role", `{"model":"quick","messages":[{"content":"hello"}]}`),
+		chat("no model", `{"messages":[{"role":"user","content":"hello"}]}`),
+		chat("unknown profile", `{"model":"nobody","messages":[{"role":"user","content":"hello"}]}`),
+		chat("negative limit", `{"model":"quick","messages":[{"role":"user","content":"hello"}],"max_tokens":-1}`),
+		chat("several answers", `{"model":"quick","messages":[{"role":"user","content":"hello"}],"n":2}`),
+		chat("oversize", `{"model":"quick","messages":[{"role":"user","content":"`+strings.Repeat("x", 5<<20)+`"}]}`),
+		with(chat("no credentials", goodChat), "Authorization", ""),
+		with(chat("wrong credentials", goodChat), "Authorization", "Bearer nobody"),
+		with(chat("another workspace's profile", goodChat), "Authorization", "Bearer "+jvharness.OtherKey),
+		with(chat("key too long", goodChat), "Idempotency-Key", strings.Repeat("k", 300)),
+		with(chat("key with a space", goodChat), "Idempotency-Key", "a b"),
+		call("booking without a key", "POST", deskPath+"bookings"),
+		call("unknown service", "GET", "/v1/services/nobody/stock/1"),
+		call("call without a rule", "DELETE", deskPath+"stock/1"),
+		call("engines are no service", "GET", "/v1/services/engines/stock/1"),
+		with(call("another workspace's service", "GET", deskPath+"stock/1"), "Authorization", "Bearer "+jvharness.OtherKey),
+		call("unknown path", "GET", "/v1/nothing"),
+		call("wrong method", "GET", chatPath),
+	}
+}
+
+// TestBadInput: each bad input gets its own clear error, and runs and spends nothing.
+func TestBadInput(t *testing.T) {
+	c := fleet(t, nil)
+	var b strings.Builder
+	for _, in := range badInputs() {
+		status, outcome, name, message := post(t, c.CallersURL("a1"), in)
+		fmt.Fprintf(&b, "%s: %d %s %s\n\t%s\n", in.name, status, outcome, name, message)
+	}
+	goldie.New(t).Assert(t, "badinput", []byte(b.String()))
+	counts, err := c.Counts()
+	require.NoError(t, err)
+	require.Empty(t, counts.Runs)
+	require.Empty(t, counts.Tokens)
+	requireServed(t, send(callers(c, 1), chats("after", 2, 0)))
+}
+
+func post(t *testing.T, base string, in badInput) (status int, outcome, name, message string) {
+	t.Helper()
+	request, err := http.NewRequest(in.method, base+in.path, strings.NewReader(in.body))
+	require.NoError(t, err)
+	request.Header.Set("Authorization", "Bearer "+jvharness.Key)
+	for h, v := range in.headers {
+		request.Header.Set(h, v)
+	}
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err, in.name)
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	require.NoError(t, err, in.name)
+	var p struct {
+		Name    string `json:"name"`
+		Message string `json:"message"`
+		Outcome string `json:"outcome"`
+	}
+	require.NoError(t, json.Unmarshal(data, &p), "%s: %s", in.name, data)
+	require.Equal(t, response.Header.Get("Jv-Outcome"), p.Outcome, in.name)
+	return response.StatusCode, p.Outcome, p.Name, p.Message
+}
+
+// TestEndlessBody: a caller who sends without end is refused, not served or waited for.
+func TestEndlessBody(t *testing.T) {
+	c := fleet(t, nil)
+	request, err := http.NewRequest("POST", c.CallersURL("a1")+chatPath, endless{})
+	require.NoError(t, err)
+	request.Header.Set("Authorization", "Bearer "+jvharness.Key)
+	response, err := http.DefaultClient.Do(request)
+	if err == nil {
+		defer func() { _ = response.Body.Close() }()
+		require.Equal(t, http.StatusRequestEntityTooLarge, response.StatusCode)
+	}
+	requireServed(t, send(callers(c, 1), chats("after", 2, 0)))
+}
+
+// endless is a body without end.
+type endless struct{}
+
+// Read implements io.Reader.
+func (endless) Read(p []byte) (int, error) { return copy(p, bytes.Repeat([]byte{'x'}, len(p))), nil }
+
+// TestKeyReused: the same key with another body is refused on every router and runs nothing.
+func TestKeyReused(t *testing.T) {
+	c := fleet(t, nil)
+	requireServed(t, send(callers(c, 1), bookings("k", 1, 0)))
+	for _, vm := range []string{"a1", "b2"} {
+		in := badInput{name: vm, method: "POST", path: deskPath + "bookings", body: "another", headers: map[string]string{"Idempotency-Key": "k-booking-0"}}
+		status, _, name, _ := post(t, c.CallersURL(vm), in)
+		require.Equal(t, http.StatusUnprocessableEntity, status)
+		require.Equal(t, "mismatch", name)
+	}
+	counts, err := c.Counts()
+	require.NoError(t, err)
+	require.Equal(t, map[string]int64{"k-booking-0": 1}, counts.Runs)
+}
+
+// TestComesBackForTheRest: a caller whose line breaks in mid-stream gets the rest, at another
+// router too, and the whole is one answer.
+func TestComesBackForTheRest(t *testing.T) {
+	c := fleet(t, slowTokens)
+	for _, vm := range []string{"a1", "a2"} {
+		key := "rest-" + vm
+		first, last := readSome(t, c.CallersURL("a1"), key, "", 5)
+		rest, _ := readSome(t, c.CallersURL(vm), key, last, -1)
+		whole, _ := readSome(t, c.CallersURL("a1"), key, "", -1)
+		require.Equal(t, whole, first+rest)
+		require.NotEmpty(t, rest)
+	}
+}
+
+// readSome reads events of a stream, all of them where count is negative, and returns the
+// text and the id of the last event.
+func readSome(t *testing.T, base, key, after string, count int) (text, last string) {
+	t.Helper()
+	body := `{"model":"chat","stream":true,"max_tokens":64,"messages":[{"role":"user","content":"` + key + `"}]}`
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, "POST", base+chatPath, strings.NewReader(body))
+	require.NoError(t, err)
+	request.Header.Set("Authorization", "Bearer "+jvharness.Key)
+	request.Header.Set("Idempotency-Key", key)
+	if after != "" {
+		request.Header.Set("Last-Event-ID", after)
+	}
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() && count != 0 {
+		if id, ok := strings.CutPrefix(lines.Text(), "id: "); ok {
+			last = id
+		}
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok || data == "[DONE]" {
+			continue
+		}
+		var chunk struct {
+			Choices []struct {
+				Delta struct {
+					Content string `json:"content"`
+				} `json:"delta"`
+			} `json:"choices"`
+		}
+		require.NoError(t, json.Unmarshal([]byte(data), &chunk))
+		require.Len(t, chunk.Choices, 1, data)
+		text += chunk.Choices[0].Delta.Content
+		count--
+	}
+	return text, last
+}
+
+// jvctl runs the operator's command and returns its output and exit code.
+func jvctl(t *testing.T, c *jvharness.Cluster, arguments ...string) (string, int) {
+	t.Helper()
+	arguments = append([]string{"--platform=" + c.PlatformURL(), fmt.Sprint("--port=", c.OperatorsPort())}, arguments...)
+	cmd := exec.Command(filepath.Join(binFolder, "jvctl"), arguments...)
+	out, err := cmd.CombinedOutput()
+	if err != nil {
+		require.NotNil(t, cmd.ProcessState, "%v", err)
+	}
+	return string(out), cmd.ProcessState.ExitCode()
+}
+
+// TestOperator: an operator tops up once by id, sees budgets and VMs, and learns from a
+// request id why the request was refused.
+func TestOperator(t *testing.T) {
+	c := fleet(t, nil)
+	for range 2 {
+		out, code := jvctl(t, c, "topup", "quick", "500", "--id=invoice-1")
+		require.Zero(t, code, out)
+	}
+	out, code := jvctl(t, c, "budget")
+	require.Zero(t, code, out)
+	require.Contains(t, out, "1000500")
+	out, code = jvctl(t, c, "topup", "nobody", "500", "--id=invoice-2")
+	require.Equal(t, 1, code, out)
+	out, code = jvctl(t, c, "status")
+	require.Zero(t, code, out)
+	require.Equal(t, 4, strings.Count(out, "ready"), out)
+	out, code = jvctl(t, c, "target", "drain", "nobody")
+	require.Equal(t, 1, code, out)
+	out, code = jvctl(t, c, "target", "drain", "engine-a1")
+	require.Zero(t, code, out)
+
+	refused := callers(c, 1).Run(context.Background(), jvcaller.Job{Kind: jvcaller.KindQuick, Profile: "quick", Output: 64, Prompt: 1_100_000})
+	require.Equal(t, "budget", refused.Problem, "%+v", refused)
+	out, code = jvctl(t, c, "dump", "a1", "--request="+refused.Request)
+	require.Zero(t, code, out)
+	require.Contains(t, out, "prepaid budget has less left than")
+}
--- a/internal/jvcaller/caller.go
+++ b/internal/jvcaller/caller.go
@@ -52,6 +52,9 @@
 
 // final tells whether coming back would not help.
 func (r *Result) final() bool {
+	if r.Outcome == "unknown" && r.Retry > 0 {
+		return false
+	}
 	switch r.Problem {
 	case "", "unreachable", "broken", "overloaded", "unavailable", "deadline", "failed":
 		return r.Outcome == "notrun" && !r.Job.Model() && r.Job.Kind != KindLookup
--- a/internal/jvfleet/once.go
+++ b/internal/jvfleet/once.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -39,7 +40,8 @@
 }
 
 // take claims the key in the log. A claim that this VM stops waiting for may still be
-// accepted; it is then recorded as not run, since it is never dispatched.
+// accepted; the key is then given back, since the call is never dispatched and the caller was
+// told to come back with it.
 func (f *Fleet) take(ctx context.Context, q *Request) (jvledger.Verdict, string, *Problem) {
 	s := f.current()
 	if !f.journal.Reachable(f.options.Pace.Unreachable) {
@@ -50,7 +52,7 @@
 		err     error
 	}
 	done := make(chan result, 1)
-	given := make(chan struct{})
+	var handed atomic.Bool // Set by whichever comes first: the verdict, or the end of the wait.
 	f.spawn(func() {
 		record := jvrecord.Record{Take: &jvrecord.Take{Key: q.Key[:], Digest: q.Digest[:], Born: bornOf(q.CallerKey), Request: q.ID}}
 		verdicts, err := f.journal.Submit(f.ctx, s.origin, record)
@@ -61,27 +63,30 @@
 		if jvfault.KindOf[jvjournal.Kind](err) == jvjournal.KindLost {
 			r = result{verdict: f.lostTake(q, s.origin)}
 		}
-		select {
-		case <-given:
-			if r.verdict.Reason == jvledger.ReasonAccepted {
-				f.record(q, s.origin, &jvrecord.Finish{Outcome: jvrecord.OutcomeNotRun})
-			}
-		case done <- r:
+		if handed.CompareAndSwap(false, true) {
+			done <- r
+			return
+		}
+		if r.verdict.Reason == jvledger.ReasonAccepted {
+			f.record(q, s.origin, &jvrecord.Finish{Outcome: jvrecord.OutcomeFree})
 		}
 	})
 	wait, cancel := context.WithTimeout(ctx, f.options.Pace.Unreachable)
 	defer cancel()
+	var r result
 	select {
-	case r := <-done:
-		if r.err != nil {
-			return r.verdict, s.origin, takeProblem("this VM is stopping")
-		}
-		f.note(q, jvtrace.StepTake, "", "the log says "+string(r.verdict.Reason))
-		return r.verdict, s.origin, nil
+	case r = <-done:
 	case <-wait.Done():
-		close(given)
+		if handed.CompareAndSwap(false, true) {
+			return jvledger.Verdict{}, "", takeProblem("the platform's log did not answer in time")
+		}
+		r = <-done
+	}
+	if r.err != nil {
+		return r.verdict, s.origin, takeProblem("this VM is stopping")
 	}
-	return jvledger.Verdict{}, "", takeProblem("the platform's log did not answer in time")
+	f.note(q, jvtrace.StepTake, "", "the log says "+string(r.verdict.Reason))
+	return r.verdict, s.origin, nil
 }
 
 // takeProblem is told where the key could not be claimed: another VM may have run a copy.
--- a/internal/jvfleet/scene_fleet_test.go
+++ b/internal/jvfleet/scene_fleet_test.go
@@ -19,11 +19,11 @@
 	"github.com/jasminevale/jasminevale/internal/jvoperator"
 )
 
-// held returns what an open origin of a VM holds and has not reported spent.
-func (s *scene) held(vm string) (left int64) {
+// held returns what the origins of a1 hold and have not reported spent.
+func (s *scene) held() (left int64) {
 	s.client.View(func(state *jvledger.State) {
 		for origin, a := range state.Budgets["quick"].Accounts {
-			if o := state.Origins[origin]; o != nil && o.VM == vm {
+			if o := state.Origins[origin]; o != nil && o.VM == "a1" {
 				left += a.Left()
 			}
 		}
@@ -42,14 +42,14 @@
 			go func() { answers <- s.chat("a1", fmt.Sprint("k", n), fmt.Sprint("text ", n)) }()
 		}
 		time.Sleep(500 * time.Millisecond)
-		require.Positive(t, s.held("a1"))
+		require.Positive(t, s.held())
 		s.world.Fleet("a1").Stop(context.Background())
 		for range 10 {
 			d := <-answers
 			require.True(t, d.served(), "%+v", d)
 		}
 		time.Sleep(time.Second)
-		require.Zero(t, s.held("a1"), "tokens that the stopped VM did not give back")
+		require.Zero(t, s.held(), "tokens that the stopped VM did not give back")
 		require.Equal(t, int64(10), s.billed())
 		require.Empty(t, s.fault())
 	})
@@ -75,10 +75,10 @@
 				defer s.close()
 				require.True(t, s.chat("a1", "k", "hello").served())
 				time.Sleep(3 * time.Second)
-				before := s.held("a1")
+				before := s.held()
 				s.world.Kill("a1")
 				time.Sleep(2 * time.Minute)
-				after := s.held("a1")
+				after := s.held()
 				t.Logf("%d tokens held when it died, %d stranded after two minutes", before, after)
 				if !c.free {
 					require.Equal(t, before, after)
@@ -292,3 +292,30 @@
 	id[6], id[8], id[15] = 0x70, 0x80, 1
 	return id.String()
 }
+
+// TestClaimGivenUp: a booking that was given up while the log was away, and whose claim the
+// log took all the same, is served when its caller comes back with the same key.
+func TestClaimGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScene(t, nil)
+		defer s.close()
+		s.world.LogDown(true)
+		answers := make(chan told, 40)
+		for n := range cap(answers) {
+			go func() { answers <- s.book("a1", fmt.Sprint("k", n), "tin") }()
+		}
+		for range cap(answers) {
+			d := <-answers
+			require.Equal(t, "unknown", d.outcome, "%+v", d)
+			require.Positive(t, d.retry)
+		}
+		s.world.Heal()
+		time.Sleep(10 * time.Second)
+		for n := range cap(answers) {
+			key := fmt.Sprint("k", n)
+			d := s.book("b1", key, "tin")
+			require.True(t, d.served(), "%+v", d)
+			require.Equal(t, 1, s.world.Runs(key))
+		}
+	})
+}
--- a/internal/jvharness/cluster.go
+++ b/internal/jvharness/cluster.go
@@ -106,22 +106,38 @@
 	return c.AwaitReady(ctx)
 }
 
-// freePorts finds a range of ports that is free on the first loopback address.
+// Ports are taken from below those that the system gives to outgoing connections, which
+// would otherwise now and then hold one of them.
+const (
+	firstPort = 10_000
+	lastPort  = 30_000
+)
+
+// freePorts finds a range of ports that is free, beginning at a place of this process's own.
 func freePorts() (int, error) {
-	for range 20 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return 0, errors.Wrap(err, "find a port")
-		}
-		base := l.Addr().(*net.TCPAddr).Port
-		_ = l.Close()
-		if base+portsUsed < 65535 {
+	start := os.Getpid() * portsUsed
+	for n := range (lastPort - firstPort) / portsUsed {
+		base := firstPort + (start+n*portsUsed)%(lastPort-firstPort)
+		if portsFree(base) {
 			return base, nil
 		}
 	}
 	return 0, errors.New("no range of ports is free")
 }
 
+func portsFree(base int) bool {
+	for _, ip := range []string{"127.0.0.1", ZoneIP(0, 1), ZoneIP(1, 1)} {
+		for port := base; port <= base+portTargets; port++ {
+			l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
+			if err != nil {
+				return false
+			}
+			_ = l.Close()
+		}
+	}
+	return true
+}
+
 func (c *Cluster) file(name string) string { return filepath.Join(c.Options.Dir, name) }
 
 // ZoneIP returns the IP number of the nth VM of a zone.
--- a/internal/jvledger/generations.go
+++ b/internal/jvledger/generations.go
@@ -55,5 +55,11 @@
 	}
 }
 
+// Delete forgets a key.
+func (g *Generations[K, V]) Delete(k K) {
+	delete(g.Young, k)
+	delete(g.Old, k)
+}
+
 // Len returns the number of entries held.
 func (g *Generations[K, V]) Len() int { return len(g.Young) + len(g.Old) }
--- a/internal/jvledger/once.go
+++ b/internal/jvledger/once.go
@@ -49,6 +49,10 @@
 	case held.Outcome != "":
 		return Verdict{Reason: ReasonDuplicate, Taken: held}
 	}
+	if f.Outcome == jvrecord.OutcomeFree {
+		s.Takes.Delete(k)
+		return Verdict{Reason: ReasonAccepted, Taken: held}
+	}
 	held.Outcome = f.Outcome
 	held.Status = f.Status
 	held.Content = f.Content
--- a/internal/jvrecord/take.go
+++ b/internal/jvrecord/take.go
@@ -19,6 +19,9 @@
 	OutcomeDone    Outcome = "done"
 	OutcomeNotRun  Outcome = "notrun"
 	OutcomeUnknown Outcome = "unknown"
+	// OutcomeFree gives a key back that was claimed and not used, where no caller was told
+	// that it is not run: the next claim of it counts as the first.
+	OutcomeFree Outcome = "free"
 )
 
 // Finish records the final outcome of a request that the sender took.
