--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 LINT_VERSION := v2.15.0
 GOA_VERSION := v3.25.3
 
-.PHONY: build demo test lint format bench gen tools golden
+.PHONY: build demo test lint format bench capacity deep gen tools golden
 
 # Builds all programs into bin/.
 build:
@@ -33,8 +33,24 @@
 	@for m in $(MODULES); do (cd $$m && $(LINT) fmt ./...) || exit 1; done
 
 # Writes the golden files of tests anew; read the difference before committing it.
-golden:
-	@cd internal && $(GO) test ./... -update
+golden: build
+	@cd internal && $(GO) test ./jvfleet ./jvsetting ./jvoperator -run 'Errors|FaultMatrix' -update
+	@cd cmd/jvload && JV_BIN=$(CURDIR)/$(BIN) $(GO) test . -run BadInput -update
+
+# Benchmarks of the decisions, then what a router adds end to end. Figures never fail it.
+bench: build
+	@cd internal && $(GO) test -run '^$$' -bench . -benchtime 1s ./jvescrow ./jvledger ./jvtarget ./jvflight
+	@$(BIN)/jvload bench --bin $(BIN) --out out/bench
+
+# Measures the slopes of docs/CAPACITY.md and writes docs/CAPACITY-TABLE.md and docs/capacity.svg.
+capacity: build
+	@$(BIN)/jvload capacity --docs docs
+
+# Searches further than CI does: longer random histories, then each fuzz target for a minute.
+deep:
+	@cd internal && JV_SEED=$${JV_SEED:-7} JV_CHECKS=15000 JV_STEPS=600 $(GO) test ./jvfleet -run TestBudgetProperty
+	@cd internal && for t in jvledger:FuzzApply jvledger:FuzzRestore jvsetting:FuzzParseRouter jvoperator:FuzzParseBundle; do \
+		$(GO) test ./$${t%%:*} -run '^$$' -fuzz $${t##*:} -fuzztime 1m || exit 1; done
 
 # Generates the HTTP code from internal/design; its clients are not used and left out.
 gen:
--- a/cmd/jvload/callers_test.go
+++ b/cmd/jvload/callers_test.go
@@ -92,7 +92,7 @@
 	require.NoError(t, err)
 	require.Empty(t, counts.Runs)
 	require.Empty(t, counts.Tokens)
-	requireServed(t, send(callers(c, 1), chats("after", 2, 0)))
+	requireServed(t, send(callers(c, 1), chats("after", 2)))
 }
 
 func post(t *testing.T, base string, in badInput) (status int, outcome, name, message string) {
@@ -121,7 +121,7 @@
 // TestEndlessBody: a caller who sends without end is refused, not served or waited for.
 func TestEndlessBody(t *testing.T) {
 	c := fleet(t, nil)
-	request, err := http.NewRequest("POST", c.CallersURL("a1")+chatPath, endless{})
+	request, err := http.NewRequest(http.MethodPost, c.CallersURL("a1")+chatPath, endless{})
 	require.NoError(t, err)
 	request.Header.Set("Authorization", "Bearer "+jvharness.Key)
 	response, err := http.DefaultClient.Do(request)
@@ -129,7 +129,7 @@
 		defer func() { _ = response.Body.Close() }()
 		require.Equal(t, http.StatusRequestEntityTooLarge, response.StatusCode)
 	}
-	requireServed(t, send(callers(c, 1), chats("after", 2, 0)))
+	requireServed(t, send(callers(c, 1), chats("after", 2)))
 }
 
 // endless is a body without end.
@@ -174,7 +174,7 @@
 	body := `{"model":"chat","stream":true,"max_tokens":64,"messages":[{"role":"user","content":"` + key + `"}]}`
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, "POST", base+chatPath, strings.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, base+chatPath, strings.NewReader(body))
 	require.NoError(t, err)
 	request.Header.Set("Authorization", "Bearer "+jvharness.Key)
 	request.Header.Set("Idempotency-Key", key)
--- a/cmd/jvload/e2e_test.go
+++ b/cmd/jvload/e2e_test.go
@@ -80,11 +80,11 @@
 }
 
 // chats returns streamed jobs that all ask one router first.
-func chats(prefix string, count, first int) []jvcaller.Job {
+func chats(prefix string, count int) []jvcaller.Job {
 	var jobs []jvcaller.Job
 	for n := range count {
 		jobs = append(jobs, jvcaller.Job{
-			Kind: jvcaller.KindChat, Number: n, Key: fmt.Sprint(prefix, "-chat-", n), Profile: "chat", Output: 64, Prompt: 300, First: first,
+			Kind: jvcaller.KindChat, Number: n, Key: fmt.Sprint(prefix, "-chat-", n), Profile: "chat", Output: 64, Prompt: 300,
 		})
 	}
 	return jobs
@@ -141,7 +141,7 @@
 		time.Sleep(400 * time.Millisecond)
 		c.Process("a1").Kill()
 	}()
-	results := send(callers(c, 6), append(chats("k", 20, 0), bookings("k", 5, 0)...))
+	results := send(callers(c, 6), append(chats("k", 20), bookings("k", 5, 0)...))
 	requireServed(t, results)
 	retried := 0
 	for _, r := range results {
@@ -162,7 +162,7 @@
 		c.Process("engine-a1").Kill()
 		_ = c.StartTarget("engine-a1")
 	}()
-	results := send(callers(c, 1), chats("k", 20, 0))
+	results := send(callers(c, 1), chats("k", 20))
 	requireServed(t, results)
 	judgePromises(t, c, results)
 }
@@ -170,7 +170,7 @@
 // TestRouterFrozen: a router that is frozen and goes on later runs nothing twice.
 func TestRouterFrozen(t *testing.T) {
 	c := fleet(t, slowTokens)
-	jobs := append(chats("k", 10, 0), bookings("k", 20, 0)...)
+	jobs := append(chats("k", 10), bookings("k", 20, 0)...)
 	go func() {
 		time.Sleep(200 * time.Millisecond)
 		c.Process("a1").Signal(syscall.SIGSTOP)
@@ -198,10 +198,10 @@
 // zone holds, bookings get their answer at once, and all is well when it is back.
 func TestLogDown(t *testing.T) {
 	c := fleet(t, nil)
-	requireServed(t, send(callers(c, 3), chats("warm", 8, 0)))
+	requireServed(t, send(callers(c, 3), chats("warm", 8)))
 	require.NoError(t, c.Fault("platform", jvstandin.Faults{Down: true}))
 	time.Sleep(6 * time.Second)
-	during := send(callers(c, 1), chats("during", 10, 0))
+	during := send(callers(c, 1), chats("during", 10))
 	requireServed(t, during)
 	refused := send(callers(c, 1), bookings("during", 5, 1))
 	for _, r := range refused {
@@ -218,7 +218,7 @@
 func TestLostAppends(t *testing.T) {
 	c := fleet(t, nil)
 	require.NoError(t, c.Fault("platform", jvstandin.Faults{Lose: 10, Late: 5, Delay: 1500}))
-	results := send(callers(c, 6), append(chats("k", 10, 0), bookings("k", 20, 0)...))
+	results := send(callers(c, 6), append(chats("k", 10), bookings("k", 20, 0)...))
 	copies := send(callers(c, 6), withFirst(bookings("k", 20, 0), 2))
 	requireServed(t, copies)
 	judgePromises(t, c, append(results, copies...))
@@ -228,10 +228,10 @@
 // lies about them.
 func TestZoneCut(t *testing.T) {
 	c := fleet(t, nil)
-	requireServed(t, send(callers(c, 3), chats("warm", 8, 0)))
+	requireServed(t, send(callers(c, 3), chats("warm", 8)))
 	require.NoError(t, c.Fault("platform", jvstandin.Faults{Cut: []string{"a"}}))
 	time.Sleep(6 * time.Second)
-	cut := send(callers(c, 1), append(chats("cut", 5, 0), bookings("cut", 10, 0)...))
+	cut := send(callers(c, 1), append(chats("cut", 5), bookings("cut", 10, 0)...))
 	open := send(callers(c, 1), bookings("cut", 10, 2))
 	requireServed(t, open)
 	require.NoError(t, c.Fault("platform", jvstandin.Faults{}))
@@ -247,7 +247,7 @@
 		time.Sleep(300 * time.Millisecond)
 		c.Process("a1").Signal(syscall.SIGTERM)
 	}()
-	results := send(callers(c, 1), append(chats("k", 20, 0), bookings("k", 5, 0)...))
+	results := send(callers(c, 1), append(chats("k", 20), bookings("k", 5, 0)...))
 	requireServed(t, results)
 	require.True(t, c.Process("a1").Wait(30*time.Second), "the router did not end")
 	judgePromises(t, c, results)
--- a/cmd/jvload/main.go
+++ b/cmd/jvload/main.go
@@ -10,8 +10,10 @@
 
 // arguments are the command line.
 type arguments struct {
-	Run  runCommand  `cmd:"" help:"Play callers against running routers."`
-	Demo demoCommand `cmd:"" help:"Start a fleet with stand-ins on loopback, use it, break parts of it, and judge its promises."`
+	Run      runCommand      `cmd:"" help:"Play callers against running routers."`
+	Bench    benchCommand    `cmd:"" help:"Measure what a router adds to the first token and between tokens."`
+	Capacity capacityCommand `cmd:"" help:"Measure the slopes that docs/CAPACITY.md works with."`
+	Demo     demoCommand     `cmd:"" help:"Start a fleet with stand-ins on loopback, use it, break parts of it, and judge its promises."`
 }
 
 const description = `Load and experiment tool of the jasminevale fleet.
--- a/internal/jvfake/platform.go
+++ b/internal/jvfake/platform.go
@@ -66,7 +66,10 @@
 	if err := l.open(ctx, op); err != nil {
 		return 0, err
 	}
-	_ = l.world.sleep(ctx, l.world.Append)
+	_ = l.world.sleep(ctx, appendTime)
+	if l.world.tells(LieBillTwice) {
+		data = billTwice(data)
+	}
 	e := l.world.stream(stream).Append(data, l.world.Timer.Now())
 	l.world.mu.Lock()
 	l.world.appends++
@@ -166,7 +169,7 @@
 	if err := n.world.reach(ctx, to.VM, "peers"); err != nil {
 		return unreachable(err)
 	}
-	_ = n.world.sleep(ctx, n.world.Link)
+	_ = n.world.sleep(ctx, linkTime)
 	f := n.world.Fleet(to.VM)
 	if f == nil {
 		return unreachable(errCut)
@@ -181,9 +184,27 @@
 	if err := n.world.reach(ctx, n.vm, "peers"); err != nil {
 		return unreachable(err)
 	}
-	_ = n.world.sleep(ctx, n.world.Link)
+	_ = n.world.sleep(ctx, linkTime)
 	return answer, ctx.Err()
 }
 
 // Trim drops all but the newest entries of a stream, as its retention does.
 func (w *World) Trim(name string, keep int) { w.stream(name).Trim(keep) }
+
+// billTwice repeats the bills of a batch under other serials.
+func billTwice(data []byte) []byte {
+	b, err := jvcodec.Decode[jvrecord.Batch](data)
+	if err != nil {
+		return data
+	}
+	for _, r := range b.Records {
+		if r.Report == nil {
+			continue
+		}
+		for _, l := range r.Report.Bills {
+			l.Serial += 1_000_000
+			r.Report.Bills = append(r.Report.Bills, l)
+		}
+	}
+	return jvcodec.Encode(&b)
+}
--- a/internal/jvfake/targets.go
+++ b/internal/jvfake/targets.go
@@ -160,8 +160,14 @@
 	start := int64(strings.Count(a.Prefix, " "))
 	total := jvstandin.AnswerLength(a.Messages, start+a.Output)
 	tag, nonce := jvstandin.PromptTag(a.Messages), strings.ReplaceAll(a.ID, ".", "_")
+	if w.tells(LieOtherAnswer) {
+		tag = jvstandin.PromptTag([]byte("another"))
+	}
+	if w.tells(LieShortAnswer) {
+		total--
+	}
 	for i := start; i < total; i++ {
-		if w.sleep(run, w.Token) != nil {
+		if w.sleep(run, w.tokenTime()) != nil {
 			return jvengine.Usage{}, t.broken(ctx, op, errCut)
 		}
 		w.count(e, a)
@@ -222,6 +228,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.tokens[a.Model]++
+	if w.lie == LieLargeUse {
+		w.tokens[a.Model] += 1000
+	}
 	w.usageOf(e, a.ID).Output++
 }
 
@@ -273,9 +282,12 @@
 		return jvengine.Reply{}, t.broken(ctx, op, errCut)
 	case c.Method != http.MethodGet:
 		w.runs[c.Key]++
+		if w.lie == LieCallTwice {
+			w.runs[c.Key]++
+		}
 	}
 	w.mu.Unlock()
-	_ = w.sleep(ctx, w.Call)
+	_ = w.sleep(ctx, callTime)
 	if err := w.pass(ctx, Event{VM: t.vm, Step: StepCalled, Target: target.Name}); err != nil {
 		return jvengine.Reply{}, t.broken(ctx, op, err)
 	}
--- a/internal/jvfake/world.go
+++ b/internal/jvfake/world.go
@@ -60,16 +60,19 @@
 	tokens  map[string]int64
 	calls   map[string]*service
 	logDown bool
+	lie     Lie
 	appends int
 	bytes   int64
-	// Tokens is how long one token takes, Call how long a call does, Append and Link how long
-	// an append and one way to a peer do.
-	Token  time.Duration
-	Call   time.Duration
-	Append time.Duration
-	Link   time.Duration
+	token   time.Duration
 }
 
+// Times that the fakes take: a call, an append, and one way to a peer.
+const (
+	callTime   = 10 * time.Millisecond
+	appendTime = 3 * time.Millisecond
+	linkTime   = time.Millisecond / 2
+)
+
 // NewWorld returns a world without routers; keep bounds each stream's entries, 0 for no bound.
 func NewWorld(seed string) *World {
 	return &World{
@@ -84,10 +87,7 @@
 		runs:    map[string]int{},
 		tokens:  map[string]int64{},
 		calls:   map[string]*service{},
-		Token:   5 * time.Millisecond,
-		Call:    10 * time.Millisecond,
-		Append:  3 * time.Millisecond,
-		Link:    time.Millisecond / 2,
+		token:   5 * time.Millisecond,
 	}
 }
 
@@ -241,6 +241,45 @@
 	w.logDown = down
 }
 
+// Lie is a deliberate fault of the world, by which tests show that they would notice one of
+// the fleet's own.
+type Lie string
+
+// Lies that a world can tell.
+const (
+	LieCallTwice   Lie = "each call runs twice"
+	LieOtherAnswer Lie = "answers are of another prompt"
+	LieShortAnswer Lie = "answers lack their last token"
+	LieLargeUse    Lie = "engines use far more than they were allowed"
+	LieBillTwice   Lie = "each bill comes again under another serial"
+)
+
+// Tell makes the world tell a lie from now on.
+func (w *World) Tell(l Lie) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lie = l
+}
+
+func (w *World) tells(l Lie) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lie == l
+}
+
+// SetToken says how long one token takes from now on.
+func (w *World) SetToken(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.token = d
+}
+
+func (w *World) tokenTime() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.token
+}
+
 // Hook has every step of every router passed to h, on the goroutine that takes the step.
 func (w *World) Hook(h func(Event)) {
 	w.mu.Lock()
--- a/internal/jvfleet/bills.go
+++ b/internal/jvfleet/bills.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/jasminevale/jasminevale/internal/jvledger"
 	"github.com/jasminevale/jasminevale/internal/jvpeer"
@@ -132,13 +133,25 @@
 // report appends what the log does not have yet: spent and returned tokens, loans, bills.
 func (f *Fleet) report() {
 	s := f.current()
-	if f.stopping.Load() || !f.hasJoined(s) {
+	if f.stopping.Load() || !f.hasJoined(s) || !f.reportDue() {
 		return
 	}
 	f.sendReport(f.ctx, s)
 	f.guard.forget(func(holder string) bool { return !f.originOpen(holder) })
 }
 
+// reportDue keeps this VM's reports to its share of the log's appends; only the report loop
+// calls it.
+func (f *Fleet) reportDue() bool {
+	now := f.options.Timer.Now()
+	share := time.Duration(1+len(f.peers())) * f.options.Pace.Share
+	if now.Sub(f.reported) < share {
+		return false
+	}
+	f.reported = now
+	return true
+}
+
 func (f *Fleet) sendReport(ctx context.Context, s *session) {
 	r := s.report()
 	r.Bills = append(f.bills.list(), f.guard.late(f.options.Timer.Now(), f.options.Pace.Suspect)...)
--- a/internal/jvfleet/budget.go
+++ b/internal/jvfleet/budget.go
@@ -177,7 +177,7 @@
 	}
 	c := &claim{done: make(chan struct{})}
 	f.claims.pending[profile] = c
-	want := f.options.Policy.Want(s.escrow.Account(profile), need)
+	want := f.options.Policy.Want(s.escrow.Account(profile), need, f.placement(profile).Target())
 	f.spawn(func() {
 		f.meter.Claims.Inc()
 		record := jvrecord.Record{Claim: &jvrecord.Claim{Profile: profile, Need: need, Want: want}}
@@ -261,11 +261,12 @@
 		if !reachable {
 			continue
 		}
-		if f.options.Policy.Low(a, need) && f.freeOf(profile) >= need {
+		target := f.placement(profile).Target()
+		if f.options.Policy.Low(a, need, target) && f.freeOf(profile) >= need {
 			f.startClaim(s, profile, need)
 			continue
 		}
-		f.giveBack(s, profile, a)
+		f.giveBack(s, profile, a, target)
 	}
 	if len(marks) > 0 {
 		f.raiseMarks(f.ctx, s, marks)
@@ -296,15 +297,36 @@
 	return free
 }
 
+// placement returns what this VM's share of a budget is sized by, as the log has it.
+func (f *Fleet) placement(profile string) (p jvescrow.Placement) {
+	f.journal.View(func(state *jvledger.State) {
+		c, ok := state.Catalog().Profile(profile)
+		b := state.Budgets[profile]
+		if !ok || b == nil {
+			return
+		}
+		p.Ahead = c.Ahead
+		p.All = b.GoneSpent
+		for origin, a := range b.Accounts {
+			p.All += a.Spent
+			if o := state.Origins[origin]; o != nil && o.VM == f.options.VM {
+				p.Own += a.Spent
+			}
+		}
+		p.Unspent = b.Prepaid - p.All
+	})
+	return p
+}
+
 // giveBack returns an account's surplus while a claim elsewhere found too little.
-func (f *Fleet) giveBack(s *session, profile string, a jvescrow.Account) {
+func (f *Fleet) giveBack(s *session, profile string, a jvescrow.Account, target int64) {
 	short := false
 	f.journal.View(func(state *jvledger.State) {
 		if b := state.Budgets[profile]; b != nil {
 			short = b.Short > 0 && state.Now-b.Short < shortMemory.Milliseconds()
 		}
 	})
-	surplus := f.options.Policy.Surplus(a)
+	surplus := f.options.Policy.Surplus(a, target)
 	if short {
 		surplus = a.Lendable()
 	}
@@ -317,7 +339,7 @@
 	if back := s.escrow.Return(profile, surplus); back > 0 {
 		f.meter.Returns.Inc()
 		f.trace.Note(jvtrace.Decision{Step: jvtrace.StepBudget, Profile: profile, Why: fmt.Sprintf("gave back %d idle tokens", back)})
-		f.spawn(f.report)
+		f.spawn(func() { f.sendReport(f.ctx, s) })
 	}
 }
 
--- a/internal/jvfleet/dump.go
+++ b/internal/jvfleet/dump.go
@@ -168,3 +168,6 @@
 		return float64(sum)
 	})
 }
+
+// Accounts returns what this VM holds of each budget, by its own count.
+func (f *Fleet) Accounts() map[string]jvescrow.Account { return f.current().escrow.Snapshot() }
--- a/internal/jvfleet/fleet.go
+++ b/internal/jvfleet/fleet.go
@@ -36,8 +36,11 @@
 
 	session atomic.Pointer[session]
 	catalog atomic.Pointer[jvconfig.Catalog]
-	// applied is the offset up to which the log's effects on this router were taken over.
+	// refreshing lets one entry's effects on this router be taken over at a time.
 	refreshing sync.Mutex
+	// reported is when the report loop last reported, polled where the load loop goes on.
+	reported time.Time
+	polled   int
 
 	stopping atomic.Bool
 	stopped  chan struct{}
--- a/internal/jvfleet/matrix_test.go
+++ b/internal/jvfleet/matrix_test.go
@@ -281,7 +281,7 @@
 				key = later
 			}
 			keys[key] = true
-			if wrong := whole("hello", d); wrong != "" {
+			if wrong := whole(d); wrong != "" {
 				return fmt.Sprintf("RED: answer %d is not whole: %s", i, wrong)
 			}
 		}
--- a/internal/jvfleet/members.go
+++ b/internal/jvfleet/members.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/jasminevale/jasminevale/internal/jvconfig"
 	"github.com/jasminevale/jasminevale/internal/jvpeer"
 	"github.com/jasminevale/jasminevale/internal/jvplatform"
 	"github.com/jasminevale/jasminevale/internal/jvtarget"
@@ -149,27 +151,49 @@
 	}
 }
 
-// pollLoads asks each target that has not reported lately for its load.
+// polledTarget is one target with its pool's name.
+type polledTarget struct {
+	pool   string
+	target jvconfig.Target
+}
+
+// pollLoads asks the next few targets for their load, each in its turn. What this router
+// sends meanwhile corrects older reports.
 func (f *Fleet) pollLoads() {
 	var polls sync.WaitGroup
-	for name, pool := range f.Catalog().Pools() {
-		for _, g := range pool.Targets {
-			polls.Add(1)
-			go func() {
-				defer polls.Done()
-				ctx, cancel := context.WithTimeout(f.ctx, f.options.Pace.Load)
-				defer cancel()
-				if l, err := f.options.Targets.Load(ctx, g); err == nil {
-					f.targets.Report(name, g.Name, l)
-				}
-			}()
-		}
+	for _, p := range f.nextPolls() {
+		polls.Add(1)
+		go func() {
+			defer polls.Done()
+			ctx, cancel := context.WithTimeout(f.ctx, f.options.Pace.Load)
+			defer cancel()
+			if l, err := f.options.Targets.Load(ctx, p.target); err == nil {
+				f.targets.Report(p.pool, p.target.Name, l)
+			}
+		}()
 	}
 	polls.Wait()
 	f.crashes.advance(f.options.Timer.Now().UnixMilli())
 	f.warm.Store(true)
 }
 
+func (f *Fleet) nextPolls() []polledTarget {
+	var all []polledTarget
+	pools := f.Catalog().Pools()
+	for _, name := range slices.Sorted(maps.Keys(pools)) {
+		for _, g := range pools[name].Targets {
+			all = append(all, polledTarget{pool: name, target: g})
+		}
+	}
+	count := min(len(all), f.options.Pace.Polls)
+	next := make([]polledTarget, count)
+	for i := range next {
+		next[i] = all[(f.polled+i)%len(all)]
+	}
+	f.polled += count
+	return next
+}
+
 // Members returns the VM list with signs of life, for the dump.
 func (f *Fleet) Members() []Member {
 	f.members.mu.Lock()
--- a/internal/jvfleet/options.go
+++ b/internal/jvfleet/options.go
@@ -48,6 +48,11 @@
 	Budget  time.Duration
 	Decay   time.Duration
 	Witness time.Duration
+	// Share is what one VM's reports leave to the others: with N entry VMs a VM reports at
+	// most once in N times Share, so that the fleet's appends a second stay bounded.
+	Share time.Duration
+	// Polls is how many targets are asked for their load in one round.
+	Polls int
 	// Suspect is how long a VM must be gone before its witnesses promise.
 	Suspect time.Duration
 	// Unreachable is how long the log may be silent before requests stop waiting for it.
@@ -72,6 +77,8 @@
 			Budget:      100 * time.Millisecond,
 			Decay:       10 * time.Second,
 			Witness:     time.Second,
+			Share:       10 * time.Millisecond,
+			Polls:       8,
 			Suspect:     10 * time.Second,
 			Unreachable: 5 * time.Second,
 			PeerTimeout: 300 * time.Millisecond,
--- a/internal/jvfleet/scene_basic_test.go
+++ b/internal/jvfleet/scene_basic_test.go
@@ -15,7 +15,7 @@
 		defer s.close()
 		d := s.chat("a1", "k1", "hello")
 		require.True(t, d.served(), "%+v", d)
-		require.Empty(t, whole("hello", d))
+		require.Empty(t, whole(d))
 		d = s.chat("b1", "k1", "hello")
 		require.True(t, d.served(), "%+v", d)
 		d = s.book("a1", "k2", "tin")
--- a/internal/jvfleet/scene_test.go
+++ b/internal/jvfleet/scene_test.go
@@ -209,7 +209,7 @@
 	return broken
 }
 
-// whole tells what is wrong with an answer to a text, or "".
-func whole(text string, d told) string {
-	return jvstandin.CheckAnswer(messages(text), 40, d.text)
+// whole tells what is wrong with an answer to "hello", or "".
+func whole(d told) string {
+	return jvstandin.CheckAnswer(messages("hello"), 40, d.text)
 }
--- a/internal/jvharness/cluster.go
+++ b/internal/jvharness/cluster.go
@@ -438,3 +438,13 @@
 	}
 	c.timer.Close()
 }
+
+// Engines returns the engines as targets, by name.
+func (c *Cluster) Engines() []jvconfig.Target {
+	for _, p := range c.bundle().Pools {
+		if p.Name == Pool {
+			return p.Targets
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/jvoperator/bundle_test.go
@@ -0,0 +1,54 @@
+package jvoperator
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+	"github.com/stretchr/testify/require"
+
+	"github.com/jasminevale/jasminevale/internal/jvconfig"
+)
+
+const goodBundle = `{
+  "workspaces": [{"name": "bakers", "keys": ["e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855"], "services": ["desk"]}],
+  "pools": [
+    {"name": "engines", "kind": "engine", "targets": [{"name": "e1", "zone": "a", "address": "127.0.1.101:80", "slots": 16}]},
+    {"name": "desk", "kind": "service", "deadline": 1000, "attempts": 2,
+     "targets": [{"name": "d1", "zone": "a", "address": "127.0.1.201:80", "slots": 16}],
+     "calls": [{"method": "POST", "prefix": "/bookings", "once": true}]}
+  ],
+  "profiles": [{"name": "drafts", "workspace": "bakers", "pool": "engines", "work": "draft", "model": "m",
+    "output": 100, "deadline": 1000, "priority": 1, "attempts": 2, "ahead": 40}]
+}`
+
+// TestParseBundleErrors: each fault of a configuration file is told with its place, all at once.
+func TestParseBundleErrors(t *testing.T) {
+	var b strings.Builder
+	for _, c := range []struct{ name, text string }{
+		{"unknown field", strings.Replace(goodBundle, `"ahead"`, `"behind"`, 1)},
+		{"several at once", strings.NewReplacer(`"draft"`, `"poem"`, `"slots": 16`, `"slots": 0`, `"/bookings"`, `"bookings"`, `"ahead": 40`, `"ahead": 400`).Replace(goodBundle)},
+		{"a key itself in place of its digest", strings.Replace(goodBundle, "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855", "my-key", 1)},
+		{"references that lead nowhere", strings.NewReplacer(`"pool": "engines"`, `"pool": "desk"`, `"workspace": "bakers"`, `"workspace": "nobody"`, `"services": ["desk"]`, `"services": ["engines"]`).Replace(goodBundle)},
+	} {
+		bundle, err := ParseBundle([]byte(c.text))
+		if err == nil {
+			err = bundle.CheckAgainst(jvconfig.NewCatalog())
+		}
+		require.Error(t, err, c.name)
+		b.WriteString("## " + c.name + "\n" + err.Error() + "\n")
+	}
+	goldie.New(t).Assert(t, "errors", []byte(b.String()))
+}
+
+// FuzzParseBundle: no file makes the reader or its checks panic.
+func FuzzParseBundle(f *testing.F) {
+	f.Add([]byte(goodBundle))
+	f.Add([]byte(`{"profiles":[{}]}`))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		b, err := ParseBundle(data)
+		if err == nil {
+			_ = b.CheckAgainst(jvconfig.NewCatalog())
+		}
+	})
+}
--- /dev/null
+++ b/internal/jvsetting/router_test.go
@@ -0,0 +1,60 @@
+package jvsetting
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+	"github.com/stretchr/testify/require"
+)
+
+const good = `{
+  "vm": "a1", "zone": "a", "address": "127.0.1.1",
+  "callers": {"address": "127.0.1.1:7100"},
+  "operators": {"address": "127.0.1.1:7101"},
+  "peers": {"address": "127.0.1.1:7102", "secret": "secret"},
+  "platform": {"url": "http://127.0.0.1:7000"},
+  "limits": {}, "log": {"level": 0}
+}`
+
+func TestParseRouter(t *testing.T) {
+	r, err := ParseRouter([]byte(good))
+	require.NoError(t, err)
+	require.Equal(t, "fleet", r.Platform.Stream)
+	require.Equal(t, int64(defaultStall), r.Limits.Stall)
+}
+
+// TestParseRouterErrors: each fault of a file is told with its place, all of them at once.
+func TestParseRouterErrors(t *testing.T) {
+	var b strings.Builder
+	for _, c := range []struct{ name, text string }{
+		{"empty", ""},
+		{"unknown field", strings.Replace(good, `"vm"`, `"wm"`, 1)},
+		{"wrong type", strings.Replace(good, `"level": 0`, `"level": "loud"`, 1)},
+		{"more after the end", good + "{}"},
+		{"everything missing", "{}"},
+		{"several at once", strings.NewReplacer(`"a1"`, `"A 1"`, `http://`, `ftp://`, `"level": 0`, `"level": 7`, `127.0.1.1:7101`, `7101`).Replace(good)},
+		{"half of TLS", strings.Replace(good, `"127.0.1.1:7100"`, `"127.0.1.1:7100", "tls": {"cert": "c"}`, 1)},
+	} {
+		_, err := ParseRouter([]byte(c.text))
+		require.Error(t, err, c.name)
+		b.WriteString("## " + c.name + "\n" + err.Error() + "\n")
+	}
+	goldie.New(t).Assert(t, "errors", []byte(b.String()))
+}
+
+// FuzzParseRouter: no file makes the reader panic, and what it accepts it accepts again.
+func FuzzParseRouter(f *testing.F) {
+	f.Add([]byte(good))
+	f.Add([]byte("{}"))
+	f.Add([]byte(`{"vm":`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		first, err := ParseRouter(data)
+		if err != nil {
+			return
+		}
+		again, err := ParseRouter(data)
+		require.NoError(t, err)
+		require.Equal(t, first, again)
+	})
+}
--- /dev/null
+++ b/internal/jvtarget/bench_test.go
@@ -0,0 +1,43 @@
+package jvtarget
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jasminevale/jasminevale/internal/jvconfig"
+	"github.com/jasminevale/jasminevale/internal/jvrecord"
+	"github.com/jasminevale/jasminevale/internal/jvtimer"
+)
+
+func BenchmarkAcquire(b *testing.B) {
+	for _, targets := range []int{6, 20, 600} {
+		b.Run(fmt.Sprint(targets, "targets"), func(b *testing.B) {
+			timer := jvtimer.NewService()
+			defer timer.Close()
+			table := NewTable("a", timer, func() float64 { return 0.4 })
+			body := `{"name":"e","kind":"engine","targets":[`
+			for n := range targets {
+				if n > 0 {
+					body += ","
+				}
+				body += fmt.Sprintf(`{"name":"e%d","zone":"a","address":"127.0.0.1:1","slots":16}`, n)
+			}
+			catalog, err := jvconfig.NewCatalog().With(1, jvrecord.Item{Kind: jvrecord.ItemPool, Name: "e", Body: []byte(body + "]}")})
+			if err != nil {
+				b.Fatal(err)
+			}
+			table.Configure(catalog)
+			ask := Ask{Pool: "e", Attempt: "r.1", Prefix: "prefix", Deadline: time.Now().Add(time.Hour)}
+			b.ReportAllocs()
+			for b.Loop() {
+				l, err := table.Acquire(context.Background(), ask)
+				if err != nil {
+					b.Fatal(err)
+				}
+				l.Release(EndingWorked)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/jvtarget/table_test.go
@@ -0,0 +1,84 @@
+package jvtarget
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// TestEstimate: a late report is corrected by what this router sent and saw end since.
+func TestEstimate(t *testing.T) {
+	at := func(s int) time.Time { return time.Unix(int64(s), 0) }
+	for _, c := range []struct {
+		name     string
+		load     Load
+		starts   []int
+		finishes [][2]int
+		want     int64
+	}{
+		{"no report", Load{}, nil, nil, 0},
+		{"report only", Load{Busy: 5, At: at(10)}, nil, nil, 5},
+		{"sent since the report", Load{Busy: 5, At: at(10)}, []int{9, 11, 12}, nil, 7},
+		{"ended since the report", Load{Busy: 5, At: at(10)}, nil, [][2]int{{8, 11}}, 4},
+		{"began and ended since the report", Load{Busy: 5, At: at(10)}, nil, [][2]int{{11, 12}}, 5},
+		{"never below what is known", Load{Busy: 0, At: at(10)}, []int{8, 9}, nil, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var tr traffic
+			for i, s := range c.starts {
+				tr.start(string(rune('a'+i)), at(s))
+			}
+			for i, f := range c.finishes {
+				id := string(rune('p' + i))
+				tr.start(id, at(f[0]))
+				tr.finish(id, at(f[1]))
+			}
+			require.Equal(t, c.want, tr.estimate(c.load))
+		})
+	}
+}
+
+// TestChoose: a choice has a free slot, and where one exists there is a choice.
+func TestChoose(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Candidate {
+			return Candidate{
+				Name:  rapid.StringN(1, 3, 3).Draw(t, "name"),
+				Slots: rapid.Int64Range(1, 4).Draw(t, "slots"),
+				Busy:  rapid.Int64Range(0, 5).Draw(t, "busy"),
+				Near:  rapid.Bool().Draw(t, "near"),
+			}
+		}), 0, 6).Draw(t, "candidates")
+		prefix := rapid.SampledFrom([]string{"", "p", "q"}).Draw(t, "prefix")
+		random := func() float64 { return rapid.Float64Range(0, 0.999999).Draw(t, "random") }
+		free := false
+		for _, c := range list {
+			free = free || c.Busy < c.Slots
+		}
+		i := Choose(list, prefix, random)
+		if !free {
+			require.Equal(t, -1, i)
+			return
+		}
+		require.Less(t, list[i].Busy, list[i].Slots)
+	})
+}
+
+// TestRendezvous: a key stays with its target when another one goes.
+func TestRendezvous(t *testing.T) {
+	list := []Candidate{{Name: "a", Near: true}, {Name: "b", Near: true}, {Name: "c", Near: true}, {Name: "d", Near: true}}
+	counts := map[int]int{}
+	for n := range 1000 {
+		key := string(rune('a' + n))
+		all := Rendezvous(list, []int{0, 1, 2, 3}, key)
+		counts[all]++
+		if all != 3 {
+			require.Equal(t, all, Rendezvous(list, []int{0, 1, 2}, key))
+		}
+	}
+	for i, n := range counts {
+		require.Greater(t, n, 150, "target %d of 4 got %d of 1000 keys", i, n)
+	}
+}
