--- a/cmd/jvload/bench.go
+++ b/cmd/jvload/bench.go
@@ -141,8 +141,9 @@
 }
 
 func (s *samples) one(ctx context.Context, client *jvengine.Client, target jvconfig.Target) {
-	text := bytes.Repeat([]byte("x"), 600)
-	messages, err := json.Marshal([]map[string]string{{"role": "user", "content": rand.Text() + string(text)}})
+	// The prompts begin alike, as those of the callers do, so that both fill the prefix cache.
+	text := string(bytes.Repeat([]byte("x"), 574)) + rand.Text()
+	messages, err := json.Marshal([]map[string]string{{"role": "user", "content": text}})
 	if err != nil {
 		return
 	}
--- a/cmd/jvload/capacity.go
+++ b/cmd/jvload/capacity.go
@@ -55,11 +55,12 @@
 }
 
 // heap returns the bytes in use after a collection.
-func heap() uint64 {
+func heap() int64 {
+	runtime.GC() // Twice, since the first collection only readies what has finalizers.
 	runtime.GC()
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
-	return m.HeapAlloc
+	return int64(m.HeapAlloc)
 }
 
 // cpu returns the processor time that this process has used.
--- a/internal/jvtarget/load.go
+++ b/internal/jvtarget/load.go
@@ -1,6 +1,9 @@
 package jvtarget
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Load is a target's report of itself; it is as old as At says.
 type Load struct {
@@ -46,7 +49,12 @@
 	t.finishes = append(t.finishes, finish{started: started, ended: now})
 }
 
-// Estimate returns the number of requests that a target runs now: what it reported, plus what
+// forget drops the ends that a report already counts.
+func (t *traffic) forget(before time.Time) {
+	t.finishes = slices.DeleteFunc(t.finishes, func(f finish) bool { return !f.ended.After(before) })
+}
+
+// estimate returns the number of requests that a target runs now: what it reported, plus what
 // this router has sent since the report was true, less what has ended since. It is never
 // below what this router knows to be under way.
 func (t *traffic) estimate(l Load) int64 {
--- a/internal/jvtarget/table.go
+++ b/internal/jvtarget/table.go
@@ -122,6 +122,7 @@
 		return
 	}
 	p.targets[name].load = l
+	p.targets[name].traffic.forget(l.At)
 	p.wake(t)
 }
 
--- a/internal/jvtls/files_test.go
+++ b/internal/jvtls/files_test.go
@@ -90,7 +90,9 @@
 	}()
 	c, err := tls.Dial("tcp", l.Addr().String(), client)
 	if err != nil {
-		_ = <-done
+		if serverErr := <-done; serverErr != nil {
+			err = serverErr
+		}
 		return 0, err
 	}
 	defer func() { _ = c.Close() }()
