--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 LINT_VERSION := v2.15.0
 GOA_VERSION := v3.25.3
 
-.PHONY: build demo test lint format bench capacity deep gen tools golden
+.PHONY: build demo test lint format bench capacity deep fleet gen tools golden
 
 # Builds all programs into bin/.
 build:
@@ -56,3 +56,7 @@
 gen:
 	@cd internal && rm -rf gen && $(GO) run goa.design/goa/v3/cmd/goa@$(GOA_VERSION) gen github.com/jasminevale/jasminevale/internal/design
 	@cd internal && rm -rf gen/http/cli gen/http/*/client gen/*/client.go
+
+# Starts a fleet with stand-ins on loopback and leaves it running until Ctrl-C.
+fleet: build
+	@$(BIN)/jvload fleet --bin $(BIN) --out out/fleet
--- a/cmd/jvload/main.go
+++ b/cmd/jvload/main.go
@@ -10,6 +10,7 @@
 
 // arguments are the command line.
 type arguments struct {
+	Fleet    fleetCommand    `cmd:"" help:"Start a fleet with stand-ins on loopback and leave it running."`
 	Run      runCommand      `cmd:"" help:"Play callers against running routers."`
 	Bench    benchCommand    `cmd:"" help:"Measure what a router adds to the first token and between tokens."`
 	Capacity capacityCommand `cmd:"" help:"Measure the slopes that docs/CAPACITY.md works with."`
--- a/internal/jvfleet/scene_target_test.go
+++ b/internal/jvfleet/scene_target_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/jasminevale/jasminevale/internal/jvfake"
+	"github.com/jasminevale/jasminevale/internal/jvfleet"
 	"github.com/jasminevale/jasminevale/internal/jvplatform"
 )
 
@@ -190,3 +191,26 @@
 		require.Positive(t, refused)
 	})
 }
+
+// TestRetryBudget: when every attempt of a pool fails, retries stay within their budget, so
+// that the pool is not finished off by them.
+func TestRetryBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScene(t, nil)
+		defer s.close()
+		for _, v := range vms {
+			s.world.Cross("engine-"+v.vm, 1_000_000)
+		}
+		counts := s.attempts()
+		const requests = 200
+		for n := range requests {
+			d := s.chat("a1", "", fmt.Sprint("text ", n))
+			require.False(t, d.served())
+			require.Positive(t, d.retry, "%+v", d)
+		}
+		o := jvfleet.DefaultOptions()
+		most := requests + int(requests*o.RetryShare) + int(o.RetrySaved)
+		require.LessOrEqual(t, sum(counts()), most)
+		require.Empty(t, s.fault())
+	})
+}
