A frozen zone mate or target costs requests no timeout

Cause: keys whose home was a frozen VM, bills whose first witness was, and targets that did not answer polls each cost a request its timeout until the VM list dropped them. Ruled out: a shorter peer timeout, which would make a slow VM look like a gone one. Change: peers silent for three rounds are no homes and are asked last; a target that has missed two polls is left alone until it answers one.

--- a/internal/jvfleet/bills.go
+++ b/internal/jvfleet/bills.go
@@ -115,11 +115,7 @@
 }
 
 func (f *Fleet) shareBills(bills []jvrecord.Bill) bool {
-	s := f.current()
-	s.mu.Lock()
-	witnesses := s.witnesses
-	s.mu.Unlock()
-	for _, w := range witnesses {
+	for _, w := range f.livelyFirst(f.current().witnessList()) {
 		ctx, cancel := context.WithTimeout(f.ctx, f.options.Pace.PeerTimeout)
 		ok := f.askMark(ctx, w, &jvpeer.MarkAsk{Bills: bills})
 		cancel()
--- a/internal/jvfleet/budget.go
+++ b/internal/jvfleet/budget.go
@@ -221,7 +221,8 @@
 	return got
 }
 
-// lendersOf orders peers by zone and by what the log last knew them to hold.
+// lendersOf orders peers: those heard of lately, then by zone, then by what the log last knew
+// them to hold.
 func (f *Fleet) lendersOf(s *session, profile string) []jvpeer.Peer {
 	left := map[string]int64{}
 	f.journal.View(func(state *jvledger.State) {
@@ -237,6 +238,9 @@
 	})
 	list := f.peers()
 	slices.SortStableFunc(list, func(a, b jvpeer.Peer) int {
+		if silent := f.silence(a.VM) - f.silence(b.VM); silent != 0 {
+			return silent
+		}
 		if near := f.far(a.Zone) - f.far(b.Zone); near != 0 {
 			return near
 		}
--- a/internal/jvfleet/dump.go
+++ b/internal/jvfleet/dump.go
@@ -95,10 +95,7 @@
 
 func (f *Fleet) grantsView() *GrantsView {
 	s := f.current()
-	s.mu.Lock()
-	witnesses := originsOf(s.witnesses)
-	s.mu.Unlock()
-	return &GrantsView{Origin: s.origin, Witnesses: witnesses, Accounts: s.escrow.Snapshot()}
+	return &GrantsView{Origin: s.origin, Witnesses: originsOf(s.witnessList()), Accounts: s.escrow.Snapshot()}
 }
 
 func (f *Fleet) dumpBudgets(d *Dump) {
--- a/internal/jvfleet/homes.go
+++ b/internal/jvfleet/homes.go
@@ -36,13 +36,14 @@
 	return vm
 }
 
-// owner asks the key's home in this zone which VM runs it. Where the home can't be reached,
+// owner asks the key's home, among the VMs of this zone that have been heard of lately, which
+// VM runs it. Where the home can't be reached,
 // this VM runs it: a repeated run costs budget, but is billed once.
 func (f *Fleet) owner(ctx context.Context, key, instead string) string {
 	names := []string{f.options.VM}
 	byName := map[string]jvpeer.Peer{}
 	for _, p := range f.peers() {
-		if p.Zone == f.options.Zone {
+		if p.Zone == f.options.Zone && f.lively(p.VM) {
 			names = append(names, p.VM)
 			byName[p.VM] = p
 		}
--- a/internal/jvfleet/members.go
+++ b/internal/jvfleet/members.go
@@ -126,6 +126,16 @@
 	return f.members.heard[vm]
 }
 
+// silentAfter is the number of rounds of the VM list after which a peer that was pinged and
+// has not answered counts as silent.
+const silentAfter = 3
+
+// lively tells whether a peer has been heard of lately. A peer that is frozen or cut off
+// stays on the VM list for a while, and each ask of it would cost a request its timeout.
+func (f *Fleet) lively(vm string) bool {
+	return f.options.Timer.Since(f.lastHeard(vm).at) <= silentAfter*f.options.Pace.Members
+}
+
 // ask sends a message to a peer and notes its sign of life.
 func (f *Fleet) ask(ctx context.Context, to jvpeer.Peer, a jvpeer.Ask) (jvpeer.Answer, error) {
 	a.From = f.current().origin
@@ -167,9 +177,12 @@
 			defer polls.Done()
 			ctx, cancel := context.WithTimeout(f.ctx, f.options.Pace.Load)
 			defer cancel()
-			if l, err := f.options.Targets.Load(ctx, p.target); err == nil {
-				f.targets.Report(p.pool, p.target.Name, l)
+			l, err := f.options.Targets.Load(ctx, p.target)
+			if err != nil {
+				f.targets.Missed(p.pool, p.target.Name)
+				return
 			}
+			f.targets.Report(p.pool, p.target.Name, l)
 		}()
 	}
 	polls.Wait()
--- a/internal/jvfleet/scene_fleet_test.go
+++ b/internal/jvfleet/scene_fleet_test.go
@@ -319,3 +319,23 @@
 		}
 	})
 }
+
+// TestFrozenPeer: a zone mate that is frozen, and still on the VM list, costs requests no
+// timeout once it has been silent for a few seconds.
+func TestFrozenPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScene(t, nil)
+		defer s.close()
+		require.True(t, s.chat("a1", "", "warm").served())
+		s.world.Pause("a2")
+		time.Sleep(10 * time.Second)
+		for n := range 20 {
+			d := s.chat("a1", fmt.Sprint("k", n), fmt.Sprint("text ", n))
+			require.True(t, d.served(), "%+v", d)
+			require.Less(t, d.took, jvfleet.DefaultOptions().Pace.PeerTimeout, "the request waited for the frozen peer")
+		}
+		s.world.Resume("a2")
+		time.Sleep(5 * time.Second)
+		require.Empty(t, s.fault())
+	})
+}
--- a/internal/jvfleet/session.go
+++ b/internal/jvfleet/session.go
@@ -91,6 +91,13 @@
 	return s.borrowed[origin][profile]
 }
 
+// witnessList returns the witnesses that the log names.
+func (s *session) witnessList() []witness {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.witnesses
+}
+
 func put(m map[string]map[string]int64, a, b string, n int64) {
 	if m[a] == nil {
 		m[a] = map[string]int64{}
--- a/internal/jvfleet/witness.go
+++ b/internal/jvfleet/witness.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 
 	"github.com/jasminevale/jasminevale/internal/jvledger"
 	"github.com/jasminevale/jasminevale/internal/jvpeer"
@@ -35,11 +36,9 @@
 // opens them.
 func (f *Fleet) raiseMarks(ctx context.Context, s *session, marks map[string]int64) bool {
 	epoch := s.escrow.Epoch()
-	s.mu.Lock()
-	witnesses := s.witnesses
-	s.mu.Unlock()
+	witnesses := s.witnessList()
 	acknowledged := false
-	for _, w := range witnesses {
+	for _, w := range f.livelyFirst(witnesses) {
 		if f.askMark(ctx, w, &jvpeer.MarkAsk{Marks: marks}) {
 			acknowledged = true
 			break
@@ -57,6 +56,22 @@
 	return true
 }
 
+// livelyFirst puts the witnesses that have been heard of lately before the others.
+func (f *Fleet) livelyFirst(witnesses []witness) []witness {
+	ordered := slices.Clone(witnesses)
+	slices.SortStableFunc(ordered, func(a, b witness) int {
+		return f.silence(a.peer.VM) - f.silence(b.peer.VM)
+	})
+	return ordered
+}
+
+func (f *Fleet) silence(vm string) int {
+	if f.lively(vm) {
+		return 0
+	}
+	return 1
+}
+
 func (f *Fleet) askMark(ctx context.Context, w witness, ask *jvpeer.MarkAsk) bool {
 	ctx, cancel := context.WithTimeout(ctx, f.options.Pace.PeerTimeout)
 	defer cancel()
@@ -99,10 +114,7 @@
 		return
 	}
 	chosen := f.chooseWitnesses()
-	s.mu.Lock()
-	none := len(s.witnesses) == 0
-	s.mu.Unlock()
-	if len(chosen) < jvledger.WitnessCount && none {
+	if len(chosen) < jvledger.WitnessCount && len(s.witnessList()) == 0 {
 		return
 	}
 	f.nameWitnesses(s, chosen)
@@ -132,9 +144,7 @@
 
 // witnessesStand tells whether all witnesses are there under the origins that the log names.
 func (f *Fleet) witnessesStand(s *session) bool {
-	s.mu.Lock()
-	witnesses := s.witnesses
-	s.mu.Unlock()
+	witnesses := s.witnessList()
 	for _, w := range witnesses {
 		c := f.lastHeard(w.peer.VM)
 		if c.origin != w.origin || f.options.Timer.Since(c.at) > f.options.Pace.Suspect {
@@ -212,7 +222,7 @@
 	f.journal.View(func(state *jvledger.State) {
 		newest := newestOrigins(state)
 		for origin, o := range state.Origins {
-			if o.Closed || !o.Joined || !contains(o.Witnesses, s.origin) {
+			if o.Closed || !o.Joined || !slices.Contains(o.Witnesses, s.origin) {
 				continue
 			}
 			if _, promised := o.Promised[s.origin]; promised {
@@ -261,12 +271,3 @@
 	}
 	return newest
 }
-
-func contains(list []string, s string) bool {
-	for _, l := range list {
-		if l == s {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/jvtarget/table.go
+++ b/internal/jvtarget/table.go
@@ -18,6 +18,8 @@
 	health  health
 	// leaving is true while the VM list or an operator takes the target out.
 	leaving bool
+	// missed counts the polls in a row that the target has not answered.
+	missed int
 	// flights are the digests of the requests under way here, by attempt.
 	flights map[string][]byte
 	crashed string
@@ -121,11 +123,35 @@
 	if p == nil || p.targets[name] == nil || l.At.Before(p.targets[name].load.At) {
 		return
 	}
-	p.targets[name].load = l
-	p.targets[name].traffic.forget(l.At)
+	g := p.targets[name]
+	g.load = l
+	g.traffic.forget(l.At)
+	if g.missed >= missedMost {
+		g.health.worked()
+	}
+	g.missed = 0
 	p.wake(t)
 }
 
+// missedMost is the number of unanswered polls in a row after which a target is left alone,
+// so that one that is frozen or cut off does not have to cost requests to be noticed.
+const missedMost = 2
+
+// Missed notes that a target did not answer a poll.
+func (t *Table) Missed(poolName, name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.pools[poolName]
+	if p == nil || p.targets[name] == nil {
+		return
+	}
+	g := p.targets[name]
+	g.missed++
+	if g.missed >= missedMost {
+		g.health.failed(t.timer.Now())
+	}
+}
+
 // candidates lists the targets that take work now, in order of name.
 func (p *pool) candidates(t *Table, avoid []string) []Candidate {
 	now := t.timer.Now()
--- a/internal/jvtarget/table_test.go
+++ b/internal/jvtarget/table_test.go
@@ -6,6 +6,10 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"github.com/jasminevale/jasminevale/internal/jvconfig"
+	"github.com/jasminevale/jasminevale/internal/jvrecord"
+	"github.com/jasminevale/jasminevale/internal/jvtimer"
 )
 
 // TestEstimate: a late report is corrected by what this router sent and saw end since.
@@ -82,3 +86,22 @@
 		require.Greater(t, n, 150, "target %d of 4 got %d of 1000 keys", i, n)
 	}
 }
+
+// TestMissed: a target that has not answered two polls is left alone until it answers again.
+func TestMissed(t *testing.T) {
+	timer := jvtimer.NewService()
+	defer timer.Close()
+	table := NewTable("a", timer, func() float64 { return 0 })
+	body := `{"name":"e","kind":"engine","targets":[{"name":"e1","zone":"a","address":"127.0.0.1:1","slots":1}]}`
+	catalog, err := jvconfig.NewCatalog().With(1, jvrecord.Item{Kind: jvrecord.ItemPool, Name: "e", Body: []byte(body)})
+	require.NoError(t, err)
+	table.Configure(catalog)
+	usable := func() bool { return len(table.pools["e"].candidates(table, nil)) == 1 }
+	require.True(t, usable())
+	table.Missed("e", "e1")
+	require.True(t, usable())
+	table.Missed("e", "e1")
+	require.False(t, usable())
+	table.Report("e", "e1", Load{At: timer.Now()})
+	require.True(t, usable())
+}
