--- a/cmd/jvload/demo.go
+++ b/cmd/jvload/demo.go
@@ -197,18 +197,20 @@
 
 // outcome is the demo's last line.
 type outcome struct {
-	Served      int   `json:"served"`
-	Refused     int   `json:"refused"`
-	NotRun      int   `json:"notrun"`
-	Unknown     int   `json:"unknown"`
-	Unanswered  int   `json:"unanswered"`
-	Prepaid     int64 `json:"prepaid"`
-	Spent       int64 `json:"spent"`
-	Overspend   int64 `json:"overspend"`
-	Doubled     int64 `json:"doubled"`
-	FalseNotRun int   `json:"falsenotrun"`
-	Cut         int   `json:"cut"`
-	Crossed     int   `json:"crossed"`
+	Served     int   `json:"served"`
+	Refused    int   `json:"refused"`
+	NotRun     int   `json:"notrun"`
+	Unknown    int   `json:"unknown"`
+	Unanswered int   `json:"unanswered"`
+	Prepaid    int64 `json:"prepaid"`
+	Spent      int64 `json:"spent"`
+	Overspend  int64 `json:"overspend"`
+	// FalseRefusals were refused for a budget that had enough left at the end.
+	FalseRefusals int   `json:"falserefusals"`
+	Doubled       int64 `json:"doubled"`
+	FalseNotRun   int   `json:"falsenotrun"`
+	Cut           int   `json:"cut"`
+	Crossed       int   `json:"crossed"`
 	// Billed counts the bills in the log, Due the distinct requests that were served.
 	Billed   int64 `json:"billed"`
 	Due      int64 `json:"due"`
@@ -230,10 +232,11 @@
 		}
 	}
 	o.Due = int64(len(due))
+	audit := jvcaller.NewAudit(d.summary.Results(), prepaid, counts.Tokens)
+	o.Overspend, o.FalseRefusals = audit.Overspend, audit.FalseRefusals
 	for profile, tokens := range prepaid {
 		o.Prepaid += tokens
 		o.Spent += counts.Tokens[profile]
-		o.Overspend += max(0, counts.Tokens[profile]-tokens)
 	}
 	d.awaitBills(&o)
 	line, err := json.Marshal(o)
--- a/cmd/jvload/fleet.go
+++ b/cmd/jvload/fleet.go
@@ -43,6 +43,9 @@
 	}
 	say("callers' ports: %v", cluster.Routers())
 	say("operator's command: bin/jvctl --platform %s --port %d status", cluster.PlatformURL(), cluster.OperatorsPort())
+	for _, e := range cluster.Engines() {
+		say("engine %s: http://%s", e.Name, e.Address)
+	}
 	say("workspace key: %s; profiles: drafts, quick, chat; service: %s", jvharness.Key, jvharness.Service)
 	say("Interrupt with Ctrl-C to end all processes.")
 	signals := make(chan os.Signal, 1)
--- a/cmd/jvload/run.go
+++ b/cmd/jvload/run.go
@@ -2,13 +2,22 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"github.com/jasminevale/jasminevale/internal/jvcaller"
+	"github.com/jasminevale/jasminevale/internal/jvchance"
+	"github.com/jasminevale/jasminevale/internal/jvharness"
+	"github.com/jasminevale/jasminevale/internal/jvledger"
+	"github.com/jasminevale/jasminevale/internal/jvoperator"
+	"github.com/jasminevale/jasminevale/internal/jvplatform"
+	"github.com/jasminevale/jasminevale/internal/jvtimer"
 )
 
 // runCommand plays callers.
@@ -27,6 +36,9 @@
 	Pause     time.Duration      `default:"200ms" help:"Pause between tries."`
 	Seed      uint64             `default:"1" help:"Seed of the mix."`
 	Prefix    string             `default:"" help:"Beginning of all keys; by default the time."`
+	Platform  string             `help:"Base URL of the log, to compare with the budgets; needs --engine."`
+	Stream    string             `default:"fleet" help:"The fleet's stream on the log."`
+	Engine    []string           `help:"Base URLs of the stand-in engines, whose own counts are compared with the budgets."`
 	JSON      bool               `help:"Write JSON."`
 }
 
@@ -59,13 +71,62 @@
 	var summary jvcaller.Summary
 	load.Run(context.Background(), &summary)
 	reports := summary.Report()
+	var audit *jvcaller.Audit
+	if c.Platform != "" {
+		a, err := c.audit(summary.Results())
+		if err != nil {
+			return err
+		}
+		audit = &a
+	}
 	if c.JSON {
-		return json.NewEncoder(os.Stdout).Encode(reports)
+		return json.NewEncoder(os.Stdout).Encode(runReport{Kinds: reports, Audit: audit})
 	}
 	jvcaller.WriteText(os.Stdout, reports)
+	if audit != nil {
+		say("overspend %d tokens, false refusals %d", audit.Overspend, audit.FalseRefusals)
+	}
 	return nil
 }
 
+// runReport is the result of a run in JSON.
+type runReport struct {
+	Kinds map[string]*jvcaller.KindReport `json:"kinds"`
+	Audit *jvcaller.Audit                 `json:"audit,omitempty"`
+}
+
+// audit reads budgets from the log and use from the engines, which count by model.
+func (c *runCommand) audit(results []jvcaller.Result) (jvcaller.Audit, error) {
+	client := jvoperator.NewClient(jvoperator.Options{
+		Stream: c.Stream,
+		Log:    jvplatform.NewClient(c.Platform, &http.Client{}),
+		Timer:  jvtimer.NewService(),
+		Chance: jvchance.NewSource(sha256.Sum256([]byte(time.Now().String()))),
+		Logger: logr.Discard(),
+	})
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), auditTimeout)
+	defer cancel()
+	if err := client.Ready(ctx); err != nil {
+		return jvcaller.Audit{}, err
+	}
+	models, err := jvharness.EngineTokens(c.Engine)
+	if err != nil {
+		return jvcaller.Audit{}, err
+	}
+	prepaid, used := map[string]int64{}, map[string]int64{}
+	client.View(func(s *jvledger.State) {
+		for name, p := range s.Catalog().Profiles() {
+			prepaid[name] = s.Totals(name).Prepaid
+			used[name] = models[p.Model]
+		}
+	})
+	return jvcaller.NewAudit(results, prepaid, used), nil
+}
+
+// auditTimeout bounds the reading of budgets and counts.
+const auditTimeout = 20 * time.Second
+
 // callersClient keeps connections as many callers' clients together would.
 func callersClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512, MaxIdleConns: 4096}}
--- a/internal/jvcaller/caller.go
+++ b/internal/jvcaller/caller.go
@@ -79,6 +79,9 @@
 	return data
 }
 
+// WorstCase returns the most tokens that a model job can use, as a router reserves it.
+func (j Job) WorstCase() int64 { return int64(len(j.messages())) + j.Output }
+
 func (c *Caller) request(ctx context.Context, router string, j Job) (*http.Request, error) {
 	method, target, body := http.MethodPost, router+"/v1/chat/completions", []byte(nil)
 	switch {
--- a/internal/jvharness/counts.go
+++ b/internal/jvharness/counts.go
@@ -64,3 +64,16 @@
 	}
 	return doubled
 }
+
+// EngineTokens returns the tokens that stand-in engines truly used, by model.
+func EngineTokens(engines []string) (map[string]int64, error) {
+	n := Counts{Tokens: map[string]int64{}}
+	for _, base := range engines {
+		var e jvstandin.EngineCounts
+		if err := getJSON(base+"/admin/counts", &e); err != nil {
+			return nil, err
+		}
+		n.addEngine(e)
+	}
+	return n.Tokens, nil
+}
