Budgets are used up to their end: remainders no longer stick where they were borrowed

Borrowed remainders could be neither lent nor returned; a claim asked for the whole need though part of it was held; and what others had given back since the claim was not counted. Ruled out: slow returns (at the refusal all VMs had returned what they could). Change: borrowed tokens are passed on once the log has the loan (Account.Logged), claims and loans ask for what is lacking, free tokens are looked at before a refusal.

--- a/internal/jvescrow/escrow.go
+++ b/internal/jvescrow/escrow.go
@@ -32,12 +32,14 @@
 	return a
 }
 
-// Granted takes over what the log has granted on a profile, in cumulative tokens.
-func (e *Escrow) Granted(profile string, tokens int64) {
+// Granted takes over what the log has granted on a profile, and which loans to this VM it
+// has, in cumulative tokens.
+func (e *Escrow) Granted(profile string, tokens, borrowed int64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	a := e.account(profile)
 	a.Granted = max(a.Granted, tokens)
+	a.Logged = max(a.Logged, borrowed)
 }
 
 // Reserve takes the worst case of an attempt out of the account, in tokens.
--- a/internal/jvfleet/budget.go
+++ b/internal/jvfleet/budget.go
@@ -101,7 +101,8 @@
 	if f.borrowAny(ctx, s, profile, need) {
 		return nil
 	}
-	if try >= shortTries || f.heldByOthers(s, profile) < need {
+	// What others gave back since the claim is free already, so it counts like what they hold.
+	if try >= shortTries || f.freeOf(profile)+f.heldByOthers(s, profile)+s.escrow.Account(profile).Available() < need {
 		return f.shortProblem(profile, need)
 	}
 	select {
--- a/internal/jvfleet/budget_property_test.go
+++ b/internal/jvfleet/budget_property_test.go
@@ -116,7 +116,7 @@
 // sync lets a holder read the log up to now.
 func (h *history) sync(o *holder) {
 	if a, ok := h.state.Account(profileP, o.session.origin); ok {
-		o.session.escrow.Granted(profileP, a.Granted)
+		o.session.escrow.Granted(profileP, a.Granted, a.In)
 	}
 	origin := h.state.Origins[o.session.origin]
 	if o.batch == nil || origin == nil || origin.Number < o.batched {
@@ -158,7 +158,7 @@
 	need := int64(1 + h.draw("need", 30))
 	o.queue = append(o.queue, jvrecord.Record{Claim: &jvrecord.Claim{Profile: profileP, Need: need, Want: 2 * need}})
 	if h.fault == mutantEarlyGrant {
-		o.session.escrow.Granted(profileP, o.session.escrow.Account(profileP).Granted+need)
+		o.session.escrow.Granted(profileP, o.session.escrow.Account(profileP).Granted+need, 0)
 	}
 }
 
--- a/internal/jvfleet/claim.go
+++ b/internal/jvfleet/claim.go
@@ -45,10 +45,12 @@
 	}
 	c := &claim{done: make(chan struct{})}
 	f.claims.pending[profile] = c
-	want := f.options.Policy.Want(s.escrow.Account(profile), need, f.placement(profile).Target())
+	a := s.escrow.Account(profile)
+	want := f.options.Policy.Want(a, need, f.placement(profile).Target())
+	lacking := max(1, need-a.Available())
 	f.spawn(func() {
 		f.meter.Claims.Inc()
-		record := jvrecord.Record{Claim: &jvrecord.Claim{Profile: profile, Need: need, Want: want}}
+		record := jvrecord.Record{Claim: &jvrecord.Claim{Profile: profile, Need: lacking, Want: want}}
 		verdicts, err := f.journal.Submit(f.ctx, s.origin, record)
 		if err == nil {
 			c.verdict = verdicts[0]
--- a/internal/jvfleet/lend.go
+++ b/internal/jvfleet/lend.go
@@ -30,28 +30,29 @@
 // borrowAny asks the peers that hold most of a budget for a loan, those of this zone first.
 func (f *Fleet) borrowAny(ctx context.Context, s *session, profile string, need int64) bool {
 	for _, p := range f.lendersOf(s, profile) {
-		if f.borrowFrom(ctx, s, p, profile, need) >= need {
+		lacking := need - s.escrow.Account(profile).Available()
+		if lacking <= 0 {
 			return true
 		}
+		f.borrowFrom(ctx, s, p, profile, lacking)
 	}
 	return s.escrow.Account(profile).Available() >= need
 }
 
-func (f *Fleet) borrowFrom(ctx context.Context, s *session, p jvpeer.Peer, profile string, need int64) int64 {
+func (f *Fleet) borrowFrom(ctx context.Context, s *session, p jvpeer.Peer, profile string, need int64) {
 	ctx, cancel := context.WithTimeout(ctx, f.options.Pace.PeerTimeout)
 	defer cancel()
 	origin := f.lastHeard(p.VM).origin
 	loan := &jvpeer.LoanAsk{Profile: profile, Tokens: need, Held: s.borrowedFrom(origin, profile)}
 	answer, err := f.ask(ctx, p, jvpeer.Ask{Loan: loan})
 	if err != nil || answer.Loan == nil {
-		return 0
+		return
 	}
 	got := s.borrow(answer.From, profile, answer.Loan.Lent)
 	if got > 0 {
 		f.meter.Loans.Inc()
 		f.trace.Note(jvtrace.Decision{Step: jvtrace.StepBudget, Profile: profile, Why: fmt.Sprintf("borrowed %d tokens from %s", got, p.VM)})
 	}
-	return got
 }
 
 // lendersOf orders peers: those heard of lately, then by zone, then by what the log last knew
--- a/internal/jvfleet/scene_fleet_test.go
+++ b/internal/jvfleet/scene_fleet_test.go
@@ -339,3 +339,37 @@
 		require.Empty(t, s.fault())
 	})
 }
+
+// TestBudgetToItsEnd: a budget that is drawn on through every router in turn is used up until
+// less than one worst case is left of it, in all VMs together.
+func TestBudgetToItsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScene(t, nil)
+		defer s.close()
+		bundle := sceneBundle()
+		small := bundle.Profiles[0]
+		small.Name, small.Model = "small", "small"
+		bundle.Profiles = append(bundle.Profiles, small)
+		ctx := context.Background()
+		_, err := s.client.Publish(ctx, "small", bundle, 0)
+		require.NoError(t, err)
+		const tokens = 3000
+		require.NoError(t, s.client.Topup(ctx, "small", "small", tokens))
+		time.Sleep(time.Second)
+		worst := int64(len(messages("text 100"))) + small.Output
+		for n := range 200 {
+			d := s.ask("small", vms[n%len(vms)].vm, "", fmt.Sprint("text ", n))
+			if d.served() {
+				continue
+			}
+			require.Equal(t, "budget", d.name, "%+v", d)
+			left := tokens - s.world.Tokens("small")
+			for _, v := range vms {
+				t.Logf("%s holds %+v", v.vm, s.world.Fleet(v.vm).Accounts()["small"])
+			}
+			require.Less(t, left, worst, "refused with %d tokens left", left)
+			return
+		}
+		require.Fail(t, "the budget did not end")
+	})
+}
--- a/internal/jvfleet/scene_test.go
+++ b/internal/jvfleet/scene_test.go
@@ -133,9 +133,12 @@
 }
 
 // chat sends a model request to a router.
-func (s *scene) chat(vm, key, text string) told {
+func (s *scene) chat(vm, key, text string) told { return s.ask("quick", vm, key, text) }
+
+// ask sends a request on a profile to a router.
+func (s *scene) ask(profile, vm, key, text string) told {
 	return s.send(vm, func(f *jvfleet.Fleet) (*jvfleet.Request, *jvfleet.Problem) {
-		body := fmt.Sprintf(`{"model":"quick","messages":%s}`, messages(text))
+		body := fmt.Sprintf(`{"model":%q,"messages":%s}`, profile, messages(text))
 		q, _, p := f.Chat(jvfleet.Incoming{Authorization: "Bearer " + callerKey, Key: key, Body: []byte(body)})
 		return q, p
 	})
