A lookup that may have run is not told notrun; messages and crash limits stand once

Cause: on a re-read, runLookup passed on a refusal of its second try as it came; without a key that is notrun, though the first attempt may have run. Ruled out: model requests, which keep count of attempts that may have run, and bookings, which take no second try after a byte has left. Change: runLookup keeps the same count. Messages that stood up to four times are constants; the router's own crash memory takes limit and window from the fold's rules. Before: TestLookupThatMayHaveRun: expected unknown, actual notrun; after: passes. go test ./jvfleet passes.

--- a/internal/jvfleet/crash.go
+++ b/internal/jvfleet/crash.go
@@ -13,21 +13,18 @@
 	"github.com/jasminevale/jasminevale/internal/jvtarget"
 )
 
-const (
-	// crashLimit is the number of target crashes after which a request is run no more.
-	crashLimit = 2
-	// crashWindow is how long this VM itself remembers crashes, in milliseconds.
-	crashWindow = 60 * 60 * 1000
-)
-
 // crashes is this VM's own memory of target crashes, ahead of the log's.
 type crashes struct {
+	// limit is the number of target crashes after which a request is run no more.
+	limit int
+
 	mu   sync.Mutex
 	seen *jvledger.Generations[jvledger.Key, []string]
 }
 
-func newCrashes() *crashes {
-	return &crashes{seen: jvledger.NewGenerations[jvledger.Key, []string](crashWindow)}
+// newCrashes returns an empty memory with the limit and window of the fold's.
+func newCrashes(r jvledger.Rules) *crashes {
+	return &crashes{limit: r.Crashes, seen: jvledger.NewGenerations[jvledger.Key, []string](r.PoisonWindow)}
 }
 
 func (c *crashes) note(digest []byte, target, instance string) {
@@ -39,7 +36,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	list, _ := c.seen.Get(k)
-	if len(list) < crashLimit && !slices.Contains(list, crash) {
+	if len(list) < c.limit && !slices.Contains(list, crash) {
 		c.seen.Put(k, append(slices.Clone(list), crash))
 	}
 }
@@ -60,7 +57,7 @@
 // quarantined tells whether a request has been part of too many target crashes, here or
 // anywhere in the fleet.
 func (f *Fleet) quarantined(digest jvledger.Key) (hit bool) {
-	if f.crashes.count(digest) >= crashLimit {
+	if f.crashes.count(digest) >= f.crashes.limit {
 		return true
 	}
 	f.journal.View(func(state *jvledger.State) { hit = state.Quarantined(digest) })
--- a/internal/jvfleet/fleet.go
+++ b/internal/jvfleet/fleet.go
@@ -70,7 +70,7 @@
 		bills:   newBillBook(),
 		guard:   newGuard(),
 		claims:  newClaims(),
-		crashes: newCrashes(),
+		crashes: newCrashes(o.Journal.Rules),
 		workers: make(chan func()),
 		stopped: make(chan struct{}),
 		ctx:     ctx,
--- a/internal/jvfleet/lookup.go
+++ b/internal/jvfleet/lookup.go
@@ -19,8 +19,12 @@
 func (f *Fleet) runLookup(ctx context.Context, fl *jvflight.Flight, q *Request) *Problem {
 	f.retries.Earn()
 	var avoid []string
+	ran := false // True once an attempt may have run without an answer.
 	for try := 1; ; try++ {
 		lease, p := f.acquireCall(ctx, q, try, avoid)
+		if p != nil && ran {
+			return p.WithOutcome(jvrecord.OutcomeUnknown)
+		}
 		if p != nil {
 			return p
 		}
@@ -31,8 +35,9 @@
 			return nil
 		}
 		avoid = append(avoid, lease.Target.Name)
+		ran = ran || kind != jvengine.KindUnsent
 		if kind == jvengine.KindBroken && f.inspect(lease, f.targets.Instance(lease)) && f.quarantined(q.Digest) {
-			return &Problem{Name: ProblemQuarantined, Message: "targets crashed on this request: it is not run again", Outcome: jvrecord.OutcomeUnknown}
+			return &Problem{Name: ProblemQuarantined, Message: messageQuarantined, Outcome: jvrecord.OutcomeUnknown}
 		}
 		switch {
 		case ctx.Err() != nil:
@@ -40,7 +45,7 @@
 		case try >= q.Call.Pool.Attempts:
 			return &Problem{Name: ProblemFailed, Message: fmt.Sprintf("%d attempts failed", try), Outcome: jvrecord.OutcomeUnknown, Retry: time.Second}
 		case !f.retries.Spend():
-			return &Problem{Name: ProblemOverloaded, Message: "an attempt failed and so many others did that retries are used up", Outcome: jvrecord.OutcomeUnknown, Retry: 2 * time.Second}
+			return &Problem{Name: ProblemOverloaded, Message: messageRetries, Outcome: jvrecord.OutcomeUnknown, Retry: 2 * time.Second}
 		}
 		f.meter.Retries.Inc()
 	}
--- a/internal/jvfleet/model.go
+++ b/internal/jvfleet/model.go
@@ -220,11 +220,11 @@
 	case kind == jvengine.KindInvalid:
 		return false, &Problem{Name: ProblemFailed, Message: "the target refused the request: " + err.Error()}
 	case crashed && f.quarantined(q.Digest):
-		return false, &Problem{Name: ProblemQuarantined, Message: "targets crashed on this request: it is not run again"}
+		return false, &Problem{Name: ProblemQuarantined, Message: messageQuarantined}
 	case m.tries >= q.Model.Profile.Attempts:
 		return false, &Problem{Name: ProblemFailed, Message: fmt.Sprintf("%d attempts failed, the last one with: %s", m.tries, kind), Retry: time.Second}
 	case !f.retries.Spend():
-		return false, &Problem{Name: ProblemOverloaded, Message: "an attempt failed and so many others did that retries are used up", Retry: 2 * time.Second}
+		return false, &Problem{Name: ProblemOverloaded, Message: messageRetries, Retry: 2 * time.Second}
 	}
 	f.meter.Retries.Inc()
 	return true, nil
--- a/internal/jvfleet/once.go
+++ b/internal/jvfleet/once.go
@@ -30,7 +30,7 @@
 	case jvledger.ReasonTaken:
 		return f.awaitTaken(ctx, fl, q, verdict.Taken)
 	case jvledger.ReasonMismatch:
-		return &Problem{Name: ProblemMismatch, Message: "the Idempotency-Key was used with another body: take a new key for a new request", Outcome: jvrecord.OutcomeNotRun}
+		return &Problem{Name: ProblemMismatch, Message: messageMismatch, Outcome: jvrecord.OutcomeNotRun}
 	case jvledger.ReasonStale:
 		return &Problem{Name: ProblemConflict, Message: "the key is older than keys are remembered: whether it ran can't be told any more", Outcome: jvrecord.OutcomeUnknown}
 	case jvledger.ReasonClosed:
@@ -129,7 +129,7 @@
 // is proved that nothing was sent.
 func (f *Fleet) runTaken(ctx context.Context, fl *jvflight.Flight, q *Request, holder string) *Problem {
 	if f.quarantined(q.Digest) {
-		return f.notRun(q, holder, &Problem{Name: ProblemQuarantined, Message: "targets crashed on this request: it is not run again"})
+		return f.notRun(q, holder, &Problem{Name: ProblemQuarantined, Message: messageQuarantined})
 	}
 	var avoid []string
 	for try := 1; ; try++ {
--- a/internal/jvfleet/problem.go
+++ b/internal/jvfleet/problem.go
@@ -47,6 +47,13 @@
 	return &n
 }
 
+// Messages that several kinds of requests are told.
+const (
+	messageQuarantined = "targets crashed on this request: it is not run again"
+	messageMismatch    = "the Idempotency-Key was used with another body: take a new key for a new request"
+	messageRetries     = "an attempt failed and so many others did that retries are used up"
+)
+
 // Seconds returns Retry rounded up, as Retry-After has it.
 func (p *Problem) Seconds() int {
 	return int((p.Retry + time.Second - 1) / time.Second)
--- a/internal/jvfleet/scene_target_test.go
+++ b/internal/jvfleet/scene_target_test.go
@@ -214,3 +214,28 @@
 		require.Empty(t, s.fault())
 	})
 }
+
+// TestLookupThatMayHaveRun: a lookup whose first attempt may have run, and for which no other
+// target is left, is not told that it did not run.
+func TestLookupThatMayHaveRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScene(t, nil)
+		defer s.close()
+		bundle := sceneBundle()
+		bundle.Pools[1].Deadline = 30_000 // Longer than a connection into a partition takes to fail.
+		_, err := s.client.Publish(context.Background(), "longer", bundle, 0)
+		require.NoError(t, err)
+		for _, v := range vms[1:] {
+			_, err := s.client.Drain(context.Background(), "d-"+v.vm, "desk-"+v.vm, "test", false)
+			require.NoError(t, err)
+		}
+		time.Sleep(2 * time.Second)
+		reached := armed(s, matrixStep{at: reaches(jvfake.StepCalled)}, func(s *scene, _ jvfake.Event) {
+			s.world.Cut("a1", "targets")
+		})
+		d := s.lookUp("a1", "/stock/1")
+		require.True(t, reached())
+		require.False(t, d.served())
+		require.Equal(t, "unknown", d.outcome, "%+v", d)
+	})
+}
--- a/internal/jvfleet/serve.go
+++ b/internal/jvfleet/serve.go
@@ -21,12 +21,12 @@
 // one attempt, record of the outcome).
 func (f *Fleet) Serve(q *Request) (*jvflight.Flight, *Problem) {
 	if f.quarantined(q.Digest) && !f.outcomeKept(q) {
-		return nil, f.refuse(q, ProblemQuarantined, 0, "targets crashed on this request: it is not run again")
+		return nil, f.refuse(q, ProblemQuarantined, 0, messageQuarantined)
 	}
 	fl, fresh, err := f.flights.Join(q.Key.String(), q.ID, q.Digest[:])
 	switch jvfault.KindOf[jvflight.Kind](err) {
 	case jvflight.KindMismatch:
-		return nil, f.refuse(q, ProblemMismatch, 0, "the Idempotency-Key was used with another body: take a new key for a new request")
+		return nil, f.refuse(q, ProblemMismatch, 0, messageMismatch)
 	case jvflight.KindFull:
 		return nil, f.refuse(q, ProblemOverloaded, time.Second, "this VM has as many requests under way as it can hold")
 	}
