--- /dev/null
+++ b/internal/jvgrant/holding.go
@@ -0,0 +1,44 @@
+package jvgrant
+
+import (
+	"strings"
+
+	"github.com/jasminevale/jasminevale/internal/jvcodec"
+	"github.com/jasminevale/jasminevale/internal/jvkeyed"
+)
+
+// Holding is what one router has of one budget, in cumulative tokens except for Rate and Want.
+type Holding struct {
+	_ struct{} `cbor:",toarray"`
+	// Granted is what it has taken out of the budget, Returned what it has put back.
+	Granted  int64
+	Returned int64
+	// Used is what it has spent at least, Lost what an earlier start held and may have spent.
+	Used int64
+	Lost int64
+	// Rate is what its callers ask for, in tokens a second.
+	Rate int64
+	// Want is what a request waits for, or 0.
+	Want int64
+}
+
+// Net returns what the router may spend in all.
+func (h Holding) Net() int64 { return h.Granted - h.Returned }
+
+// keySeparator stands between router and workspace in a record's key.
+const keySeparator = "\n"
+
+// Encode returns the record of a router's holding of a workspace's budget.
+func (h Holding) Encode(origin, workspace string) jvkeyed.Item {
+	return jvkeyed.Item{Key: origin + keySeparator + workspace, Value: jvcodec.Encode(&h)}
+}
+
+// decode reads a record; ok is false for one that is no holding.
+func decode(i jvkeyed.Item) (origin, workspace string, h Holding, err error) {
+	origin, workspace, _ = strings.Cut(i.Key, keySeparator)
+	if len(i.Value) == 0 {
+		return origin, workspace, Holding{}, nil
+	}
+	h, err = jvcodec.Decode[Holding](i.Value)
+	return origin, workspace, h, err
+}
--- /dev/null
+++ b/internal/jvgrant/policy.go
@@ -0,0 +1,102 @@
+package jvgrant
+
+import "time"
+
+// Policy sizes what a router holds of a budget.
+type Policy struct {
+	// Horizon is how long a router that is cut off should be able to serve recent demand.
+	Horizon time.Duration
+	// Margin is the factor on recent demand that covers its swings.
+	Margin float64
+	// Requests is how many typical requests are held beyond that.
+	Requests int64
+	// Ahead is the share of the unspent budget that all routers hold together at most.
+	Ahead float64
+	// Prior is the share that they hold before any demand is known.
+	Prior float64
+	// Low and High are the shares of the target below which a router takes more, and above
+	// which it gives back.
+	Low  float64
+	High float64
+}
+
+// DefaultPolicy returns the policy of this release.
+func DefaultPolicy() Policy {
+	return Policy{
+		Horizon:  12 * time.Second,
+		Margin:   1.3,
+		Requests: 2,
+		Ahead:    0.9,
+		Prior:    0.5,
+		Low:      0.8,
+		High:     1.4,
+	}
+}
+
+// Situation is what a decision on one budget is made from, in tokens.
+type Situation struct {
+	Prepaid int64
+	Totals  Totals
+	// Rate is this router's own demand in tokens a second, which Totals may lag.
+	Rate int64
+	// Available can be reserved now.
+	Available int64
+	// Typical is the size of a request, Want what a request waits for.
+	Typical int64
+	Want    int64
+	// Routers is the number of routers that share the budget.
+	Routers int
+}
+
+// free returns what no router holds.
+func (s Situation) free() int64 { return s.Prepaid - s.Totals.Net }
+
+// unspent returns what is left to be spent, wherever it is held.
+func (s Situation) unspent() int64 {
+	return max(0, s.Prepaid-s.Totals.Used-s.Totals.Lost)
+}
+
+// Target returns what a router should hold unreserved.
+func (p Policy) Target(s Situation) int64 {
+	routers := float64(max(s.Routers, 1))
+	unspent := float64(s.unspent())
+	all := float64(max(s.Totals.Rate, s.Rate))
+	if all == 0 {
+		return int64(unspent * p.Prior / routers)
+	}
+	// A tenth of the demand counts as spread evenly: callers may turn to any router.
+	const even = 0.1
+	share := (1-even)*float64(s.Rate)/all + even/routers
+	wish := float64(s.Rate)*p.Horizon.Seconds()*p.Margin + float64(p.Requests*s.Typical)
+	return int64(min(wish, share*unspent*p.Ahead))
+}
+
+// Take returns how much more to take out of the budget.
+func (p Policy) Take(s Situation) int64 {
+	free := s.free()
+	if free <= 0 {
+		return 0
+	}
+	target := p.Target(s)
+	take := int64(0)
+	if float64(s.Available) < p.Low*float64(target) {
+		take = min(target-s.Available, free)
+	}
+	if need := s.Want - s.Available; need > take && need <= free {
+		take = need
+	}
+	return take
+}
+
+// Give returns how much to put back: what lies above the target, or all that is not reserved
+// where a request elsewhere waits for more than is free.
+func (p Policy) Give(s Situation) int64 {
+	if s.Totals.Want > 0 && s.Want == 0 && s.Totals.Want > s.free() {
+		return max(0, s.Available)
+	}
+	target := p.Target(s)
+	if over := s.Available - target; float64(s.Available) > p.High*float64(target) && over > s.Typical {
+		return over
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/jvkeyed/error.go
@@ -0,0 +1,21 @@
+package jvkeyed
+
+import "github.com/jasminevale/jasminevale/internal/jvfault"
+
+// Kind is the class of a failure of a topic.
+type Kind string
+
+// Kinds of failures.
+const (
+	// KindUnknown leaves open whether the call took effect.
+	KindUnknown Kind = "unknown"
+	// KindRefused means that the log did nothing.
+	KindRefused Kind = "refused"
+	// KindHorizon means that the records asked for are no longer kept.
+	KindHorizon Kind = "horizon"
+	// KindMoved means that the topic does not end where the caller thought.
+	KindMoved Kind = "moved"
+)
+
+// Error is a failure of a topic.
+type Error = jvfault.Error[Kind]
--- /dev/null
+++ b/internal/jvrelay/flight.go
@@ -0,0 +1,70 @@
+package jvrelay
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/jasminevale/jasminevale/internal/jvroute"
+)
+
+// flight is one request on its way, with what its attempts have shown so far.
+type flight struct {
+	request   *Request
+	caller    Caller
+	version   uint64
+	route     jvroute.Route
+	workspace string
+	rank      int
+	pool      string
+	digest    []byte
+	// eventTokens is what one event of the answer uses at most.
+	eventTokens int64
+	deadline    time.Time
+
+	// tries counts attempts, runs those that may have run, unsent those that did not.
+	tries  int
+	runs   int
+	unsent int
+	avoid  []string
+	target string
+	// begun is true once the caller has the beginning of an answer.
+	begun bool
+	// last is the id of the last event passed on, or -1.
+	last   int64
+	events int64
+	first  time.Time
+	// whole is true once the caller has all of the answer.
+	whole  bool
+	status int
+	paid   bool
+	cause  string
+}
+
+func newFlight(q *Request, c Caller) *flight {
+	f := &flight{request: q, caller: c, last: -1, deadline: q.Deadline}
+	if n, err := strconv.ParseInt(q.LastEvent, 10, 64); err == nil {
+		f.last = n
+	}
+	return f
+}
+
+// lastEvent returns the id after which the next attempt goes on.
+func (f *flight) lastEvent() string {
+	if f.last < 0 {
+		return f.request.LastEvent
+	}
+	return strconv.FormatInt(f.last, 10)
+}
+
+// used returns the tokens that the request counts with: its worst case unless it ended whole
+// or never ran.
+func (f *flight) used() int64 {
+	u := f.request.Usage
+	switch {
+	case f.runs == 0:
+		return 0
+	case f.whole && f.runs == 1:
+		return u.Prompt + min(u.Output, f.events*f.eventTokens)
+	}
+	return u.Total()
+}
--- /dev/null
+++ b/internal/jvrelay/options.go
@@ -0,0 +1,61 @@
+package jvrelay
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/jasminevale/jasminevale/internal/jvchance"
+	"github.com/jasminevale/jasminevale/internal/jvescrow"
+	"github.com/jasminevale/jasminevale/internal/jvtarget"
+	"github.com/jasminevale/jasminevale/internal/jvtimer"
+)
+
+// Budgets are the prepaid budgets of workspaces.
+type Budgets interface {
+	// Reserve takes a request's worst case, in tokens, waiting for it until ctx ends.
+	Reserve(ctx context.Context, workspace string, tokens int64) (jvescrow.Reservation, error)
+	// Settle ends a reservation with the tokens that were used.
+	Settle(r jvescrow.Reservation, used int64)
+	// Ready tells whether it is known what this router holds.
+	Ready() bool
+}
+
+// Options are what a Relay is built from.
+type Options struct {
+	Zone    string
+	Timer   *jvtimer.Service
+	Chance  *jvchance.Source
+	Logger  logr.Logger
+	Sender  Sender
+	Budgets Budgets
+	Weights jvtarget.Weights
+	// RetryShare is the number of retries that one request earns, RetrySaved the most saved up
+	// for a pool.
+	RetryShare float64
+	RetrySaved float64
+	// Settling is how long after the log's return entries may still be missing that lapsed
+	// while it was away.
+	Settling time.Duration
+	// Unsent bounds the attempts of one request that no target ran.
+	Unsent int
+	// Buffer bounds an answer that is held until it is whole, in bytes.
+	Buffer int64
+	// ReserveShare is the part of a route's aim that a request may wait for its reservation.
+	ReserveShare float64
+}
+
+// DefaultOptions returns options with all numbers set.
+func DefaultOptions() Options {
+	return Options{
+		Logger:       logr.Discard(),
+		Weights:      jvtarget.Weights{Far: 0.10, Prefix: 0.75, Wide: true, Fade: time.Second},
+		RetryShare:   0.15,
+		RetrySaved:   5,
+		Settling:     2500 * time.Millisecond,
+		Unsent:       3,
+		Buffer:       1 << 20,
+		ReserveShare: 0.5,
+	}
+}
--- /dev/null
+++ b/internal/jvrelay/relay.go
@@ -0,0 +1,111 @@
+package jvrelay
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jasminevale/jasminevale/internal/jvretry"
+	"github.com/jasminevale/jasminevale/internal/jvroute"
+	"github.com/jasminevale/jasminevale/internal/jvtarget"
+)
+
+// Relay serves requests that are passed on as they came. It is safe for concurrent use.
+type Relay struct {
+	options  Options
+	table    atomic.Pointer[jvroute.Table]
+	targets  *jvtarget.Table
+	registry *Registry
+	active   atomic.Int64
+	stopping atomic.Bool
+
+	mu      sync.Mutex
+	retries map[string]*jvretry.Budget
+}
+
+// sweepEvery is how often entries are looked at that may have lapsed.
+const sweepEvery = 200 * time.Millisecond
+
+// NewRelay returns a relay without configuration and targets.
+func NewRelay(o Options) *Relay {
+	r := &Relay{options: o, retries: map[string]*jvretry.Budget{}}
+	r.targets = jvtarget.NewWeighted(o.Zone, o.Timer, o.Chance.Float, o.Weights)
+	r.registry = newRegistry(o, r.targets)
+	o.Timer.Every(sweepEvery, r.registry.sweep)
+	return r
+}
+
+// Registry returns the list of targets.
+func (r *Relay) Registry() *Registry { return r.registry }
+
+// Table returns the configuration in force, or nil.
+func (r *Relay) Table() *jvroute.Table { return r.table.Load() }
+
+// Configure puts a configuration in force unless a newer one already is.
+func (r *Relay) Configure(t *jvroute.Table) {
+	for {
+		old := r.table.Load()
+		if old != nil && old.Version() >= t.Version() {
+			return
+		}
+		if r.table.CompareAndSwap(old, t) {
+			r.options.Logger.Info("configuration in force", "version", t.Version(), "routes", t.Routes(), "workspaces", len(t.Workspaces()))
+			return
+		}
+	}
+}
+
+// Prepaid returns the total of a workspace's budget in force.
+func (r *Relay) Prepaid(workspace string) (int64, bool) {
+	t := r.table.Load()
+	if t == nil {
+		return 0, false
+	}
+	w, ok := t.Workspace(workspace)
+	return w.Prepaid, ok && w.Prepaid >= 0
+}
+
+// Workspaces lists the workspaces in force.
+func (r *Relay) Workspaces() []string {
+	t := r.table.Load()
+	if t == nil {
+		return nil
+	}
+	return t.Workspaces()
+}
+
+// Ready tells whether callers may be sent here, and if not why.
+func (r *Relay) Ready() (bool, string) {
+	switch {
+	case r.stopping.Load():
+		return false, "stopping"
+	case r.table.Load() == nil:
+		return false, "no configuration yet"
+	case !r.registry.Loaded():
+		return false, "no list of targets yet"
+	case !r.options.Budgets.Ready():
+		return false, "budgets not read yet"
+	}
+	return true, ""
+}
+
+// Stop makes the relay report that it takes no new callers; it goes on serving.
+func (r *Relay) Stop() { r.stopping.Store(true) }
+
+// Stopping tells whether a planned stop has begun.
+func (r *Relay) Stopping() bool { return r.stopping.Load() }
+
+// Active returns the number of requests under way.
+func (r *Relay) Active() int64 { return r.active.Load() }
+
+// retry returns the retry budget of a pool.
+func (r *Relay) retry(pool string) *jvretry.Budget {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b := r.retries[pool]
+	if b == nil {
+		b = jvretry.NewBudget(r.options.RetryShare, r.options.RetrySaved)
+		r.retries[pool] = b
+	}
+	return b
+}
--- /dev/null
+++ b/internal/jvroute/limits.go
@@ -0,0 +1,11 @@
+package jvroute
+
+import "time"
+
+// Limits bound what a caller may send and how long it may take or stay idle.
+type Limits struct {
+	HeaderBytes int
+	BodyBytes   int64
+	HeaderTime  time.Duration
+	IdleTime    time.Duration
+}
--- /dev/null
+++ b/internal/jvroute/pool.go
@@ -0,0 +1,15 @@
+package jvroute
+
+// Pool describes the targets of one service.
+type Pool struct {
+	Name   string
+	Health string
+	// Connections is what one target accepts from all routers together.
+	Connections int
+	// Engine is true for targets that run models; the numbers below are theirs.
+	Engine bool
+	// Memory is what a target keeps of prompts and running requests, in tokens.
+	Memory int64
+	// EventTokens is the number of tokens that one event of a stream holds at most.
+	EventTokens int64
+}
--- a/internal/jvtarget/candidate.go
+++ b/internal/jvtarget/candidate.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"time"
 )
 
 // Candidate is one target as a choice sees it.
@@ -14,17 +15,25 @@
 	Near bool
 }
 
-// Weights of a choice, in shares of a target's slots.
-const (
-	// farPenalty keeps work in its own zone while that costs less than this share of load.
-	farPenalty = 0.10
-	// prefixBonus prefers the target whose prefix cache likely holds the prompt's beginning.
-	prefixBonus = 0.30
-)
+// Weights are how a choice trades load for other things, in shares of a target's slots.
+type Weights struct {
+	// Far keeps work in its own zone while that costs less than this share of load.
+	Far float64
+	// Prefix prefers the target whose prefix cache likely holds the prompt's beginning.
+	Prefix float64
+	// Wide lets prompts with a prefix go to any zone, so that all routers agree on its target.
+	Wide bool
+	// Fade is the age at which a load report no longer counts, or 0 for never.
+	Fade time.Duration
+}
+
+// DefaultWeights returns the weights for targets that report their load every second and
+// whose prompts mostly share no long prefix.
+func DefaultWeights() Weights { return Weights{Far: 0.10, Prefix: 0.30} }
 
 // Choose picks among candidates with a free slot: the one that the prefix hashes to and one
 // at random compete by load. It returns -1 where no candidate has a free slot.
-func Choose(candidates []Candidate, prefix string, random func() float64) int {
+func (w Weights) Choose(candidates []Candidate, prefix string, random func() float64) int {
 	free := make([]int, 0, len(candidates))
 	for i, c := range candidates {
 		if c.Busy < c.Slots {
@@ -35,13 +44,16 @@
 		return -1
 	}
 	first := free[pick(len(free), random)]
-	bonus := 0.0
+	bonus, far := 0.0, w.Far
 	if prefix != "" {
-		first = Rendezvous(candidates, free, prefix)
-		bonus = prefixBonus
+		first = rendezvous(candidates, free, prefix, !w.Wide)
+		bonus = w.Prefix
+		if w.Wide {
+			far = 0
+		}
 	}
 	second := free[pick(len(free), random)]
-	if score(candidates[second], 0) < score(candidates[first], bonus) {
+	if score(candidates[second], 0, far) < score(candidates[first], bonus, far) {
 		return second
 	}
 	return first
@@ -49,10 +61,10 @@
 
 func pick(n int, random func() float64) int { return min(int(random()*float64(n)), n-1) }
 
-func score(c Candidate, bonus float64) float64 {
+func score(c Candidate, bonus, far float64) float64 {
 	s := float64(c.Busy)/float64(c.Slots) - bonus
 	if !c.Near {
-		s += farPenalty
+		s += far
 	}
 	return s
 }
@@ -60,12 +72,16 @@
 // Rendezvous returns the index among the given ones whose name hashes highest with the key,
 // near targets before far ones; it stays the same while the target is a candidate.
 func Rendezvous(candidates []Candidate, among []int, key string) int {
+	return rendezvous(candidates, among, key, true)
+}
+
+func rendezvous(candidates []Candidate, among []int, key string, nearFirst bool) int {
 	best := among[0]
 	var highest uint64
 	for n, i := range among {
 		c := candidates[i]
 		h := hashPair(key, c.Name) >> 1
-		if c.Near {
+		if nearFirst && c.Near {
 			h |= 1 << 63
 		}
 		if n == 0 || h > highest {
--- a/internal/jvtarget/load.go
+++ b/internal/jvtarget/load.go
@@ -56,8 +56,12 @@
 
 // estimate returns the number of requests that a target runs now: what it reported, plus what
 // this router has sent since the report was true, less what has ended since. It is never
-// below what this router knows to be under way.
-func (t *traffic) estimate(l Load) int64 {
+// below what this router knows to be under way. A report older than fade says nothing; a fade
+// of 0 keeps every report.
+func (t *traffic) estimate(l Load, fade time.Duration, now time.Time) int64 {
+	if fade > 0 && now.Sub(l.At) > fade {
+		return int64(len(t.starts))
+	}
 	n := l.Busy
 	for _, s := range t.starts {
 		if s.After(l.At) {
--- a/internal/jvtarget/table.go
+++ b/internal/jvtarget/table.go
@@ -39,14 +39,21 @@
 	zone   string
 	timer  *jvtimer.Service
 	random func() float64
-	pools  map[string]*pool
+	// weights hold for all pools.
+	weights Weights
+	pools   map[string]*pool
 	// gone are the targets that the VM list shows as leaving.
 	gone map[string]bool
 }
 
-// NewTable returns an empty table for a router in a zone.
+// NewTable returns an empty table with the default weights for a router in a zone.
 func NewTable(zone string, timer *jvtimer.Service, random func() float64) *Table {
-	t := &Table{zone: zone, timer: timer, random: random, pools: map[string]*pool{}, gone: map[string]bool{}}
+	return NewWeighted(zone, timer, random, DefaultWeights())
+}
+
+// NewWeighted returns an empty table for a router in a zone.
+func NewWeighted(zone string, timer *jvtimer.Service, random func() float64, w Weights) *Table {
+	t := &Table{zone: zone, timer: timer, random: random, weights: w, pools: map[string]*pool{}, gone: map[string]bool{}}
 	timer.Every(wakeEvery, t.wakeAll)
 	return t
 }
@@ -65,19 +72,28 @@
 // Configure takes over the pools and drains of a catalog. Targets that it no longer has get
 // no new work; their streams finish.
 func (t *Table) Configure(c *jvconfig.Catalog) {
+	pools := map[string][]jvconfig.Target{}
+	for name, config := range c.Pools() {
+		pools[name] = config.Targets
+	}
+	t.SetPools(pools, c.Drained)
+}
+
+// SetPools takes over all pools with their targets, and which of these are drained.
+func (t *Table) SetPools(pools map[string][]jvconfig.Target, drained func(name string) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for name, config := range c.Pools() {
+	for name, targets := range pools {
 		p := t.pools[name]
 		if p == nil {
 			p = &pool{targets: map[string]*target{}}
 			t.pools[name] = p
 		}
-		t.configurePool(p, config, c)
+		t.configurePool(p, targets, drained)
 		p.wake(t)
 	}
 	for name, p := range t.pools {
-		if _, ok := c.Pool(name); !ok {
+		if _, ok := pools[name]; !ok {
 			clear(p.targets)
 			p.wake(t)
 			delete(t.pools, name)
@@ -85,9 +101,9 @@
 	}
 }
 
-func (t *Table) configurePool(p *pool, config jvconfig.Pool, c *jvconfig.Catalog) {
+func (t *Table) configurePool(p *pool, targets []jvconfig.Target, drained func(name string) bool) {
 	named := map[string]bool{}
-	for _, g := range config.Targets {
+	for _, g := range targets {
 		named[g.Name] = true
 		held := p.targets[g.Name]
 		if held == nil || held.config.Address != g.Address {
@@ -95,7 +111,7 @@
 			p.targets[g.Name] = held
 		}
 		held.config = g
-		held.leaving = c.Drained(g.Name) || t.gone[g.Name]
+		held.leaving = drained(g.Name) || t.gone[g.Name]
 	}
 	for name := range p.targets {
 		if !named[name] {
@@ -163,7 +179,7 @@
 		list = append(list, Candidate{
 			Name:  name,
 			Slots: g.config.Slots,
-			Busy:  g.traffic.estimate(g.load),
+			Busy:  g.traffic.estimate(g.load, t.weights.Fade, now),
 			Near:  g.config.Zone == t.zone,
 		})
 	}
@@ -195,7 +211,7 @@
 	if len(list) == 0 {
 		return Lease{}, KindOverloaded
 	}
-	i := Choose(list, a.Prefix, t.random)
+	i := t.weights.Choose(list, a.Prefix, t.random)
 	if i < 0 {
 		return Lease{}, KindOverloaded
 	}
--- a/internal/jvtarget/table_test.go
+++ b/internal/jvtarget/table_test.go
@@ -39,7 +39,7 @@
 				tr.start(id, at(f[0]))
 				tr.finish(id, at(f[1]))
 			}
-			require.Equal(t, c.want, tr.estimate(c.load))
+			require.Equal(t, c.want, tr.estimate(c.load, 0, time.Time{}))
 		})
 	}
 }
@@ -61,7 +61,7 @@
 		for _, c := range list {
 			free = free || c.Busy < c.Slots
 		}
-		i := Choose(list, prefix, random)
+		i := DefaultWeights().Choose(list, prefix, random)
 		if !free {
 			require.Equal(t, -1, i)
 			return
