--- a/internal/jvescrow/restore.go
+++ b/internal/jvescrow/restore.go
@@ -1,12 +1,12 @@
 package jvescrow
 
 // Restore takes over an account that an earlier start of this VM held: what it had been
-// granted and had returned stands, and the rest of it counts as spent.
-func (e *Escrow) Restore(profile string, granted, returned int64) {
+// granted and had returned stands, and spent is the most that it can have spent of that.
+func (e *Escrow) Restore(profile string, granted, returned, spent int64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	a := e.account(profile)
 	a.Granted = granted
 	a.Returned = returned
-	a.Spent = granted - returned
+	a.Spent = min(spent, granted-returned)
 }
--- a/internal/jvgrant/demand.go
+++ b/internal/jvgrant/demand.go
@@ -28,6 +28,14 @@
 	d.size += newest * (float64(tokens) - d.size)
 }
 
+// newDemand returns the demand that an earlier start knew.
+func newDemand(rate, size int64) *demand {
+	if rate == 0 {
+		return &demand{}
+	}
+	return &demand{mean: float64(rate), weight: 1, size: float64(size)}
+}
+
 // step moves the mean on by the time that has passed.
 func (d *demand) step(passed time.Duration) {
 	if passed <= 0 || (d.weight == 0 && d.asked == 0) {
--- a/internal/jvgrant/error.go
+++ b/internal/jvgrant/error.go
@@ -17,3 +17,6 @@
 
 // Error is a refused reservation.
 type Error = jvfault.Error[Kind]
+
+// errBound refuses what the stated bound on spending does not cover.
+var errBound = jvfault.Newf("reserve", KindShort, "the stated bound on spending is reached")
--- a/internal/jvgrant/holding.go
+++ b/internal/jvgrant/holding.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/jasminevale/jasminevale/internal/jvcodec"
 	"github.com/jasminevale/jasminevale/internal/jvkeyed"
@@ -20,11 +21,23 @@
 	Rate int64
 	// Want is what a request waits for, or 0.
 	Want int64
+	// Envelope bounds the spending since the record was made, Boot names the start of the
+	// machine that its uptime belongs to.
+	Envelope Envelope
+	Boot     string
 }
 
 // Net returns what the router may spend in all.
 func (h Holding) Net() int64 { return h.Granted - h.Returned }
 
+// Bound returns the most that the router can have spent before an uptime of a machine start.
+func (h Holding) Bound(boot string, uptime time.Duration) int64 {
+	if boot == "" || boot != h.Boot || uptime < time.Duration(h.Envelope.Stamp) {
+		return h.Net()
+	}
+	return min(h.Net(), h.Envelope.Limit(uptime))
+}
+
 // keySeparator stands between router and workspace in a record's key.
 const keySeparator = "\n"
 
--- a/internal/jvgrant/keeper.go
+++ b/internal/jvgrant/keeper.go
@@ -22,6 +22,10 @@
 	Logger logr.Logger
 	Random func() float64
 	Policy Policy
+	// Uptime is the time since the machine's start that Boot names; both tell what an earlier
+	// start of this process can have spent.
+	Uptime func() time.Duration
+	Boot   string
 	// Prepaid returns the total of a workspace's budget in force, and false where none bounds it.
 	Prepaid func(workspace string) (int64, bool)
 	// Workspaces lists all workspaces with a budget.
@@ -64,7 +68,13 @@
 	demands map[string]*demand
 	wants   map[string]int64
 	stepped time.Time
-	sent    time.Time
+	// told are the bounds on spending that the topic has, pending those that it may get.
+	told    map[string]Envelope
+	pending map[string]Envelope
+	// pendingAt is where the pending records would stand.
+	pendingAt uint64
+	// born is the uptime at which this process started.
+	born time.Duration
 	// round is closed and renewed after each round.
 	round chan struct{}
 	// started is true once what an earlier start held is known.
@@ -83,6 +93,9 @@
 		lost:    map[string]int64{},
 		demands: map[string]*demand{},
 		wants:   map[string]int64{},
+		told:    map[string]Envelope{},
+		pending: map[string]Envelope{},
+		born:    o.Uptime(),
 		round:   make(chan struct{}),
 	}
 	k.follower = jvkeyed.NewFollower(jvkeyed.Options{
@@ -98,24 +111,31 @@
 
 // Run makes rounds until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
+	idle := 0
 	for ctx.Err() == nil {
-		k.makeRound(ctx)
+		idle++
+		if k.makeRound(ctx) {
+			idle = 0
+		}
 		select {
 		case <-ctx.Done():
 		case <-k.wake:
-			k.rest(ctx)
+			k.rest(ctx, idle)
 		case <-k.options.Timer.After(k.pause()):
 		}
 	}
 }
 
-// leastPause lies between two rounds that requests ask for.
-const leastPause = 20 * time.Millisecond
+// Pauses between two rounds that requests ask for; they grow while rounds change nothing.
+const (
+	leastPause = 10 * time.Millisecond
+	mostPause  = 160 * time.Millisecond
+)
 
-func (k *Keeper) rest(ctx context.Context) {
+func (k *Keeper) rest(ctx context.Context, idle int) {
 	select {
 	case <-ctx.Done():
-	case <-k.options.Timer.After(leastPause):
+	case <-k.options.Timer.After(min(leastPause<<min(idle, 8), mostPause)):
 	}
 }
 
@@ -147,10 +167,11 @@
 		}
 		if k.started {
 			k.escrow.Granted(workspace, h.Granted, 0)
+			k.told[workspace] = h.Envelope
+			delete(k.pending, workspace)
 			continue
 		}
-		k.escrow.Restore(workspace, h.Granted, h.Returned)
-		k.lost[workspace] = max(0, h.Net()-h.Used)
+		k.restore(workspace, h)
 	}
 	if !k.started {
 		k.started = true
@@ -158,43 +179,67 @@
 	}
 }
 
+// restore takes over what an earlier start held; k.mu must be held. What that can have spent
+// beyond what it reported counts as lost.
+func (k *Keeper) restore(workspace string, h Holding) {
+	bound := h.Bound(k.options.Boot, k.born)
+	k.escrow.Restore(workspace, h.Granted, h.Returned, bound)
+	k.lost[workspace] = max(0, bound-h.Used)
+	k.demands[workspace] = newDemand(h.Rate, h.Envelope.Size)
+	k.options.Logger.Info("budget taken over", "workspace", workspace, "net", h.Net(), "used", h.Used, "lost", k.lost[workspace],
+		"silent", (k.born - time.Duration(h.Envelope.Stamp)).String(), "sameboot", h.Boot == k.options.Boot)
+}
+
 // makeRound reads what others wrote and writes what changes here; a router that wrote in
-// between makes it start over.
-func (k *Keeper) makeRound(ctx context.Context) {
+// between makes it start over. It returns whether anything was written.
+func (k *Keeper) makeRound(ctx context.Context) (wrote bool) {
 	defer k.endRound()
 	const tries = 8
 	for range tries {
 		call, cancel := context.WithTimeout(ctx, k.options.CallTimeout)
 		err := k.follower.Poll(call, 0)
 		if err == nil {
-			err = k.write(call)
+			k.resolve()
+			wrote, err = k.write(call)
 		}
 		cancel()
 		if jvfault.KindOf[jvkeyed.Kind](err) != jvkeyed.KindMoved {
-			return
+			break
 		}
 	}
+	return wrote
+}
+
+// resolve forgets pending records that can no longer be added: the topic has gone on without
+// them from where they had to stand.
+func (k *Keeper) resolve() {
+	next := k.follower.Next()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if next > k.pendingAt {
+		clear(k.pending)
+	}
 }
 
-func (k *Keeper) write(ctx context.Context) error {
+func (k *Keeper) write(ctx context.Context) (bool, error) {
 	at := k.follower.Next()
-	items := k.plan()
+	items := k.plan(at)
 	if len(items) == 0 {
-		return nil
+		return false, nil
 	}
 	end, err := k.options.Topic.AppendAt(ctx, at, items)
 	if err != nil {
 		if jvfault.KindOf[jvkeyed.Kind](err) != jvkeyed.KindMoved {
 			k.options.Logger.Info("holdings not confirmed", "at", at, "records", len(items), "cause", err.Error())
 		}
-		return err
+		return false, err
 	}
 	k.follower.Advance(at, end, items)
-	return nil
+	return true, nil
 }
 
 // plan decides what to take and give back, and returns the records that say so.
-func (k *Keeper) plan() []jvkeyed.Item {
+func (k *Keeper) plan(at uint64) []jvkeyed.Item {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.options.Timer.Now()
@@ -204,22 +249,20 @@
 		}
 	}
 	k.stepped = now
-	due := now.Sub(k.sent) >= k.options.Report
 	routers := k.routers(now)
 	var items []jvkeyed.Item
 	for _, w := range k.options.Workspaces() {
-		if h, changed := k.decide(w, routers, due); changed {
+		if h, changed := k.decide(w, routers); changed {
 			items = append(items, h.Encode(k.options.Origin, w))
+			k.pending[w] = h.Envelope
 		}
 	}
-	if len(items) > 0 && due {
-		k.sent = now
-	}
+	k.pendingAt = at
 	return items
 }
 
 // decide returns the holding that a workspace's record should show; k.mu must be held.
-func (k *Keeper) decide(workspace string, routers int, due bool) (Holding, bool) {
+func (k *Keeper) decide(workspace string, routers int) (Holding, bool) {
 	prepaid, bound := k.options.Prepaid(workspace)
 	if !bound {
 		return Holding{}, false
@@ -250,9 +293,29 @@
 	if take > 0 {
 		h.Want = 0
 	}
+	if take > 0 || h.Returned != old.Returned {
+		k.options.Logger.Info("budget moved", "workspace", workspace, "take", take, "give", h.Returned-old.Returned,
+			"available", s.Available, "target", k.options.Policy.Target(s), "prepaid", prepaid, "net", s.Totals.Net,
+			"used", s.Totals.Used, "lost", s.Totals.Lost, "rate", s.Rate, "rates", s.Totals.Rate, "want", s.Want, "offset", k.follower.Next())
+	}
+	s.Available += take
+	h.Boot = k.options.Boot
+	uptime := k.options.Uptime()
+	h.Envelope = k.options.Policy.Envelope(s, a.Use(), uptime)
+	if pending, ok := k.pending[workspace]; ok {
+		h.Envelope = pending // It may be added yet, so a second bound would only tie the router down.
+	}
 	moved := h.Granted != old.Granted || h.Returned != old.Returned || h.Want != old.Want
-	stale := h.Used != old.Used || h.Lost != old.Lost || h.Rate != old.Rate
-	return h, moved || (stale && due) || !known
+	return h, moved || !known || k.drifted(old.Envelope, h.Envelope, uptime)
+}
+
+// drifted tells whether the bound that the topic has should be stated anew: it leaves too
+// little room, or so much that a restart would lose more than it has to, or is old.
+func (k *Keeper) drifted(told, now Envelope, uptime time.Duration) bool {
+	room := told.Limit(uptime) - now.Base
+	age := uptime - time.Duration(told.Stamp)
+	used := now.Base != told.Base
+	return room < now.Size || (used && (room > 4*now.Size || age > k.options.Report))
 }
 
 func (k *Keeper) situation(workspace string, prepaid int64, routers int) Situation {
--- a/internal/jvgrant/policy.go
+++ b/internal/jvgrant/policy.go
@@ -6,9 +6,7 @@
 type Policy struct {
 	// Horizon is how long a router that is cut off should be able to serve recent demand.
 	Horizon time.Duration
-	// Margin is the factor on recent demand that covers its swings.
-	Margin float64
-	// Requests is how many typical requests are held beyond that.
+	// Requests is how many typical requests are held beyond demand and its random swings.
 	Requests int64
 	// Ahead is the share of the unspent budget that all routers hold together at most.
 	Ahead float64
@@ -23,8 +21,7 @@
 // DefaultPolicy returns the policy of this release.
 func DefaultPolicy() Policy {
 	return Policy{
-		Horizon:  12 * time.Second,
-		Margin:   1.3,
+		Horizon:  10 * time.Second,
 		Requests: 2,
 		Ahead:    0.9,
 		Prior:    0.5,
@@ -67,7 +64,7 @@
 	// A tenth of the demand counts as spread evenly: callers may turn to any router.
 	const even = 0.1
 	share := (1-even)*float64(s.Rate)/all + even/routers
-	wish := float64(s.Rate)*p.Horizon.Seconds()*p.Margin + float64(p.Requests*s.Typical)
+	wish := float64(s.Rate)*p.Horizon.Seconds() + float64(spread(s.Rate, s.Typical, p.Horizon)+p.Requests*s.Typical)
 	return int64(min(wish, share*unspent*p.Ahead))
 }
 
@@ -100,3 +97,19 @@
 	}
 	return 0
 }
+
+// unknownRequests is how many requests a budget's part is taken to be worth while no demand
+// is known.
+const unknownRequests = 10
+
+// Envelope returns the bound on spending that a router states at an uptime; used is what it
+// has spent or reserved by then.
+func (p Policy) Envelope(s Situation, used int64, uptime time.Duration) Envelope {
+	e := Envelope{Base: used, Stamp: int64(uptime), Rate: s.Rate, Size: max(s.Typical, s.Want)}
+	if s.Rate == 0 {
+		held := s.Available
+		e.Rate = int64(float64(held) / p.Horizon.Seconds())
+		e.Size = max(e.Size, held/unknownRequests)
+	}
+	return e
+}
--- a/internal/jvgrant/reserve.go
+++ b/internal/jvgrant/reserve.go
@@ -13,7 +13,7 @@
 	const op = "reserve"
 	k.ask(workspace, tokens)
 	for first := true; ; first = false {
-		r, err := k.escrow.Reserve(workspace, tokens)
+		r, err := k.take(workspace, tokens)
 		if err == nil {
 			k.want(workspace, 0)
 			return r, nil
@@ -38,6 +38,22 @@
 	}
 }
 
+// take reserves within what is held and within the bounds that the topic has or may get.
+func (k *Keeper) take(workspace string, tokens int64) (jvescrow.Reservation, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	use := k.escrow.Account(workspace).Use() + tokens
+	uptime := k.options.Uptime()
+	told, ok := k.told[workspace]
+	if !ok || use > told.Limit(uptime) {
+		return jvescrow.Reservation{}, errBound
+	}
+	if pending, ok := k.pending[workspace]; ok && use > pending.Limit(uptime) {
+		return jvescrow.Reservation{}, errBound
+	}
+	return k.escrow.Reserve(workspace, tokens)
+}
+
 // Settle ends a reservation with the tokens that were used.
 func (k *Keeper) Settle(r jvescrow.Reservation, used int64) { k.escrow.Settle(r, used) }
 
