--- a/internal/jvgrant/envelope.go
+++ b/internal/jvgrant/envelope.go
@@ -13,6 +13,8 @@
 	// Base is what was spent or reserved at Stamp, the machine's uptime in nanoseconds.
 	Base  int64
 	Stamp int64
+	// Clock is the time of day at Stamp, in Unix milliseconds.
+	Clock int64
 	// Rate is the spending allowed from then on, in tokens a second, Size a typical request.
 	Rate int64
 	Size int64
@@ -29,6 +31,34 @@
 
 // Limit returns the most that may be spent or reserved at an uptime.
 func (e Envelope) Limit(uptime time.Duration) int64 {
-	span := max(0, uptime-time.Duration(e.Stamp))
+	return e.after(max(0, uptime-time.Duration(e.Stamp)))
+}
+
+func (e Envelope) after(span time.Duration) int64 {
 	return e.Base + e.Size + int64(float64(e.Rate)*span.Seconds()) + spread(e.Rate, e.Size, span)
 }
+
+// clockGuard is the most by which the time of day may be set back between a record and the
+// next start of its machine. Steps of up to 2.4 s have been seen on the users' machines.
+const clockGuard = 3 * time.Second
+
+// Moment is a point in time as one machine tells it.
+type Moment struct {
+	// Boot names the start of the machine that Uptime counts from.
+	Boot   string
+	Uptime time.Duration
+	// Clock is the time of day, which may jump.
+	Clock time.Time
+}
+
+// silence returns the most time that can have passed from the envelope's stamp to a moment of
+// the same machine. After a new start of the machine only the time of day tells; ok is false
+// where it can't be right.
+func (e Envelope) silence(boot string, m Moment) (d time.Duration, ok bool) {
+	uptime := m.Uptime - time.Duration(e.Stamp)
+	clock := m.Clock.Sub(time.UnixMilli(e.Clock))
+	if boot != "" && boot == m.Boot && uptime >= 0 && (uptime-clock).Abs() <= clockGuard {
+		return uptime, true
+	}
+	return max(clock, 0) + clockGuard, clock >= -clockGuard
+}
--- a/internal/jvgrant/holding.go
+++ b/internal/jvgrant/holding.go
@@ -2,7 +2,6 @@
 
 import (
 	"strings"
-	"time"
 
 	"github.com/jasminevale/jasminevale/internal/jvcodec"
 	"github.com/jasminevale/jasminevale/internal/jvkeyed"
@@ -30,12 +29,13 @@
 // Net returns what the router may spend in all.
 func (h Holding) Net() int64 { return h.Granted - h.Returned }
 
-// Bound returns the most that the router can have spent before an uptime of a machine start.
-func (h Holding) Bound(boot string, uptime time.Duration) int64 {
-	if boot == "" || boot != h.Boot || uptime < time.Duration(h.Envelope.Stamp) {
+// Bound returns the most that the router can have spent before a moment of its machine.
+func (h Holding) Bound(m Moment) int64 {
+	silence, ok := h.Envelope.silence(h.Boot, m)
+	if !ok {
 		return h.Net()
 	}
-	return min(h.Net(), h.Envelope.Limit(uptime))
+	return min(h.Net(), h.Envelope.after(silence))
 }
 
 // keySeparator stands between router and workspace in a record's key.
--- a/internal/jvgrant/keeper.go
+++ b/internal/jvgrant/keeper.go
@@ -73,8 +73,10 @@
 	pending map[string]Envelope
 	// pendingAt is where the pending records would stand.
 	pendingAt uint64
-	// born is the uptime at which this process started.
-	born time.Duration
+	// born is when this process started.
+	born Moment
+	// latest is the latest time of day that a record names.
+	latest time.Time
 	// round is closed and renewed after each round.
 	round chan struct{}
 	// started is true once what an earlier start held is known.
@@ -95,9 +97,9 @@
 		wants:   map[string]int64{},
 		told:    map[string]Envelope{},
 		pending: map[string]Envelope{},
-		born:    o.Uptime(),
 		round:   make(chan struct{}),
 	}
+	k.born = k.moment()
 	k.follower = jvkeyed.NewFollower(jvkeyed.Options{
 		Name:   "budgets",
 		Topic:  o.Topic,
@@ -109,6 +111,10 @@
 	return k
 }
 
+func (k *Keeper) moment() Moment {
+	return Moment{Boot: k.options.Boot, Uptime: k.options.Uptime(), Clock: k.options.Timer.Now()}
+}
+
 // Run makes rounds until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
 	idle := 0
@@ -152,6 +158,7 @@
 		k.book = NewBook()
 	}
 	now := k.options.Timer.Now()
+	own := map[string]Holding{}
 	for _, i := range items {
 		origin, workspace, h, err := decode(i)
 		if err != nil {
@@ -159,6 +166,9 @@
 			continue
 		}
 		k.book.Put(workspace, origin, h)
+		if clock := time.UnixMilli(h.Envelope.Clock); clock.After(k.latest) {
+			k.latest = clock
+		}
 		if !whole {
 			k.seen[origin] = now
 		}
@@ -171,9 +181,12 @@
 			delete(k.pending, workspace)
 			continue
 		}
-		k.restore(workspace, h)
+		own[workspace] = h
 	}
 	if !k.started {
+		for workspace, h := range own {
+			k.restore(workspace, h)
+		}
 		k.started = true
 		k.options.Logger.Info("budgets read", "records", len(items), "lost", k.lost)
 	}
@@ -182,12 +195,17 @@
 // restore takes over what an earlier start held; k.mu must be held. What that can have spent
 // beyond what it reported counts as lost.
 func (k *Keeper) restore(workspace string, h Holding) {
-	bound := h.Bound(k.options.Boot, k.born)
+	born := k.born
+	if k.latest.After(born.Clock) {
+		born.Clock = k.latest // Another machine's clock is ahead, so this one's may have been set back.
+	}
+	bound := h.Bound(born)
+	silence, _ := h.Envelope.silence(h.Boot, born)
 	k.escrow.Restore(workspace, h.Granted, h.Returned, bound)
 	k.lost[workspace] = max(0, bound-h.Used)
 	k.demands[workspace] = newDemand(h.Rate, h.Envelope.Size)
 	k.options.Logger.Info("budget taken over", "workspace", workspace, "net", h.Net(), "used", h.Used, "lost", k.lost[workspace],
-		"silent", (k.born - time.Duration(h.Envelope.Stamp)).String(), "sameboot", h.Boot == k.options.Boot)
+		"silence", silence.String())
 }
 
 // makeRound reads what others wrote and writes what changes here; a router that wrote in
@@ -300,13 +318,13 @@
 	}
 	s.Available += take
 	h.Boot = k.options.Boot
-	uptime := k.options.Uptime()
-	h.Envelope = k.options.Policy.Envelope(s, a.Use(), uptime)
+	moment := k.moment()
+	h.Envelope = k.options.Policy.Envelope(s, a.Use(), moment)
 	if pending, ok := k.pending[workspace]; ok {
 		h.Envelope = pending // It may be added yet, so a second bound would only tie the router down.
 	}
 	moved := h.Granted != old.Granted || h.Returned != old.Returned || h.Want != old.Want
-	return h, moved || !known || k.drifted(old.Envelope, h.Envelope, uptime)
+	return h, moved || !known || k.drifted(old.Envelope, h.Envelope, moment.Uptime)
 }
 
 // drifted tells whether the bound that the topic has should be stated anew: it leaves too
--- a/internal/jvgrant/policy.go
+++ b/internal/jvgrant/policy.go
@@ -102,10 +102,10 @@
 // is known.
 const unknownRequests = 10
 
-// Envelope returns the bound on spending that a router states at an uptime; used is what it
+// Envelope returns the bound on spending that a router states at a moment; used is what it
 // has spent or reserved by then.
-func (p Policy) Envelope(s Situation, used int64, uptime time.Duration) Envelope {
-	e := Envelope{Base: used, Stamp: int64(uptime), Rate: s.Rate, Size: max(s.Typical, s.Want)}
+func (p Policy) Envelope(s Situation, used int64, m Moment) Envelope {
+	e := Envelope{Base: used, Stamp: int64(m.Uptime), Clock: m.Clock.UnixMilli(), Rate: s.Rate, Size: max(s.Typical, s.Want)}
 	if s.Rate == 0 {
 		held := s.Available
 		e.Rate = int64(float64(held) / p.Horizon.Seconds())
