--- a/internal/jvgrant/policy.go
+++ b/internal/jvgrant/policy.go
@@ -12,6 +12,8 @@
 	Ahead float64
 	// Prior is the share that they hold before any demand is known.
 	Prior float64
+	// Growth is the factor on recent demand that a stated bound on spending allows.
+	Growth float64
 	// Low and High are the shares of the target below which a router takes more, and above
 	// which it gives back.
 	Low  float64
@@ -25,6 +27,7 @@
 		Requests: 2,
 		Ahead:    0.9,
 		Prior:    0.5,
+		Growth:   1.2,
 		Low:      0.8,
 		High:     1.4,
 	}
@@ -68,9 +71,13 @@
 	return int64(min(wish, share*unspent*p.Ahead))
 }
 
-// Take returns how much more to take out of the budget.
+// Take returns how much more to take out of the budget. What requests at other routers wait
+// for is left to them, unless one waits here as well.
 func (p Policy) Take(s Situation) int64 {
 	free := s.free()
+	if s.Want == 0 {
+		free -= s.Totals.Want
+	}
 	if free <= 0 {
 		return 0
 	}
@@ -85,17 +92,24 @@
 	return take
 }
 
-// Give returns how much to put back: what lies above the target, or all that is not reserved
-// where a request elsewhere waits for more than is free.
+// wantFactor is how much more routers give together than a request elsewhere waits for, since
+// others will follow it.
+const wantFactor = 4
+
+// Give returns how much to put back: what lies above the target, or this router's part of what
+// a request elsewhere waits for and nobody has free.
 func (p Policy) Give(s Situation) int64 {
-	if s.Totals.Want > 0 && s.Want == 0 && s.Totals.Want > s.free() {
-		return max(0, s.Available)
+	over := s.Available - p.Target(s)
+	if float64(s.Available) <= p.High*float64(p.Target(s)) || over <= s.Typical {
+		over = 0
 	}
-	target := p.Target(s)
-	if over := s.Available - target; float64(s.Available) > p.High*float64(target) && over > s.Typical {
+	lack := s.Totals.Want - s.free()
+	if s.Totals.Want == 0 || s.Want > 0 || lack <= 0 {
 		return over
 	}
-	return 0
+	held := max(s.Totals.Net-s.Totals.Used-s.Totals.Lost, s.Available, 1)
+	part := float64(wantFactor*lack) * float64(s.Available) / float64(held)
+	return max(over, min(int64(part)+1, s.Available))
 }
 
 // unknownRequests is how many requests a budget's part is taken to be worth while no demand
@@ -105,7 +119,7 @@
 // Envelope returns the bound on spending that a router states at a moment; used is what it
 // has spent or reserved by then.
 func (p Policy) Envelope(s Situation, used int64, m Moment) Envelope {
-	e := Envelope{Base: used, Stamp: int64(m.Uptime), Clock: m.Clock.UnixMilli(), Rate: s.Rate, Size: max(s.Typical, s.Want)}
+	e := Envelope{Base: used, Stamp: int64(m.Uptime), Clock: m.Clock.UnixMilli(), Rate: int64(p.Growth * float64(s.Rate)), Size: max(s.Typical, s.Want)}
 	if s.Rate == 0 {
 		held := s.Available
 		e.Rate = int64(float64(held) / p.Horizon.Seconds())
