--- a/internal/jvescrow/restore.go
+++ b/internal/jvescrow/restore.go
@@ -10,3 +10,11 @@
 	a.Returned = returned
 	a.Spent = min(spent, granted-returned)
 }
+
+// Refund takes tokens off what counts as spent that were found not to have been.
+func (e *Escrow) Refund(profile string, tokens int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	a := e.account(profile)
+	a.Spent -= min(tokens, a.Spent)
+}
--- a/internal/jvgrant/keeper.go
+++ b/internal/jvgrant/keeper.go
@@ -75,6 +75,7 @@
 	pendingAt uint64
 	// born is when this process started.
 	born Moment
+	takeover takeover
 	// latest is the latest time of day that a record names.
 	latest time.Time
 	// round is closed and renewed after each round.
@@ -100,6 +101,7 @@
 		round:   make(chan struct{}),
 	}
 	k.born = k.moment()
+	k.takeover = newTakeover()
 	k.follower = jvkeyed.NewFollower(jvkeyed.Options{
 		Name:   "budgets",
 		Topic:  o.Topic,
@@ -159,6 +161,7 @@
 	}
 	now := k.options.Timer.Now()
 	own := map[string]Holding{}
+	offsets := map[string]uint64{}
 	for _, i := range items {
 		origin, workspace, h, err := decode(i)
 		if err != nil {
@@ -182,32 +185,20 @@
 			continue
 		}
 		own[workspace] = h
+		offsets[workspace] = i.Offset
+	}
+	if k.started && !whole {
+		k.learn(items)
 	}
 	if !k.started {
 		for workspace, h := range own {
-			k.restore(workspace, h)
+			k.restore(workspace, offsets[workspace], h)
 		}
 		k.started = true
 		k.options.Logger.Info("budgets read", "records", len(items), "lost", k.lost)
 	}
 }
 
-// restore takes over what an earlier start held; k.mu must be held. What that can have spent
-// beyond what it reported counts as lost.
-func (k *Keeper) restore(workspace string, h Holding) {
-	born := k.born
-	if k.latest.After(born.Clock) {
-		born.Clock = k.latest // Another machine's clock is ahead, so this one's may have been set back.
-	}
-	bound := h.Bound(born)
-	silence, _ := h.Envelope.silence(h.Boot, born)
-	k.escrow.Restore(workspace, h.Granted, h.Returned, bound)
-	k.lost[workspace] = max(0, bound-h.Used)
-	k.demands[workspace] = newDemand(h.Rate, h.Envelope.Size)
-	k.options.Logger.Info("budget taken over", "workspace", workspace, "net", h.Net(), "used", h.Used, "lost", k.lost[workspace],
-		"silence", silence.String())
-}
-
 // makeRound reads what others wrote and writes what changes here; a router that wrote in
 // between makes it start over. It returns whether anything was written.
 func (k *Keeper) makeRound(ctx context.Context) (wrote bool) {
@@ -215,8 +206,12 @@
 	const tries = 8
 	for range tries {
 		call, cancel := context.WithTimeout(ctx, k.options.CallTimeout)
+		first := !k.follower.Loaded()
 		err := k.follower.Poll(call, 0)
 		if err == nil {
+			if first {
+				k.readHistory(call)
+			}
 			k.resolve()
 			wrote, err = k.write(call)
 		}
--- /dev/null
+++ b/internal/jvgrant/sighting.go
@@ -0,0 +1,57 @@
+package jvgrant
+
+import (
+	"slices"
+	"time"
+)
+
+// sighting is the time of day that a router wrote into a record. A router makes a record after
+// it has read the topic up to the place where the record will stand, so records tell in which
+// order things happened, whatever the clocks say.
+type sighting struct {
+	origin string
+	offset uint64
+	clock  time.Time
+}
+
+// elapsed returns the most time that can have passed between the making of the record at an
+// offset and the start of a process whose own first record stands at a later one, told by the
+// clocks of other routers alone. It holds while fewer than half of these are wrong: a router
+// read what stands before its record, so the record at from is no older than those before it,
+// and one made after the record at to is no earlier than the process's start.
+func elapsed(list []sighting, own string, from, to uint64) (time.Duration, bool) {
+	before, after := map[string]time.Time{}, map[string]time.Time{}
+	for _, s := range list {
+		switch {
+		case s.origin == own:
+		case s.offset < from:
+			before[s.origin] = s.clock
+		case s.offset > to:
+			if _, ok := after[s.origin]; !ok {
+				after[s.origin] = s.clock
+			}
+		}
+	}
+	if len(before) < leastClocks {
+		return 0, false
+	}
+	wrong := (len(before) - 1) / 2
+	if len(after) <= wrong {
+		return 0, false
+	}
+	earliest, latest := ordered(before), ordered(after)
+	slices.Reverse(earliest)
+	return max(0, latest[wrong].Sub(earliest[wrong])), true
+}
+
+// leastClocks is the number of other routers from which on their clocks are believed.
+const leastClocks = 3
+
+func ordered(clocks map[string]time.Time) []time.Time {
+	list := make([]time.Time, 0, len(clocks))
+	for _, c := range clocks {
+		list = append(list, c)
+	}
+	slices.SortFunc(list, time.Time.Compare)
+	return list
+}
--- a/internal/jvkeyed/follower.go
+++ b/internal/jvkeyed/follower.go
@@ -191,6 +191,10 @@
 	if f.Next() != at {
 		return
 	}
-	f.options.Apply(items, false)
+	own := make([]Item, len(items))
+	for n, i := range items {
+		own[n] = Item{Key: i.Key, Value: i.Value, Offset: at + uint64(n)}
+	}
+	f.options.Apply(own, false)
 	f.move(end)
 }
