--- a/internal/jvgrant/envelope.go
+++ b/internal/jvgrant/envelope.go
@@ -34,8 +34,19 @@
 	return e.after(max(0, uptime-time.Duration(e.Stamp)))
 }
 
+// calm is the time over which a bound allows no more than mean demand and one request: most
+// restarts take less, and what a bound allows beyond that is lost with each.
+const calm = 2 * time.Second
+
+// growth is the part by which demand may grow once a router has been cut off for longer.
+const growth = 0.25
+
 func (e Envelope) after(span time.Duration) int64 {
-	return e.Base + e.Size + int64(float64(e.Rate)*span.Seconds()) + spread(e.Rate, e.Size, span)
+	limit := e.Base + e.Size + int64(float64(e.Rate)*span.Seconds())
+	if long := span - calm; long > 0 {
+		limit += int64(growth*float64(e.Rate)*long.Seconds()) + spread(e.Rate, e.Size, long)
+	}
+	return limit
 }
 
 // clockGuard is the most by which the time of day may be set back between a record and the
@@ -62,3 +73,22 @@
 	}
 	return max(clock, 0) + clockGuard, clock >= -clockGuard
 }
+
+// Differences between clocks that were not set while their machines ran.
+const (
+	// clockSkew is what such clocks differ by at most.
+	clockSkew = 100 * time.Millisecond
+	// clockStep is below the least step by which clocks are set; smaller differences are
+	// smoothed away instead.
+	clockStep = time.Second
+)
+
+// refine returns this machine's own measure of the silence where it agrees with the bound
+// that other routers' clocks give, which is the longer by the pauses between their records.
+func (e Envelope) refine(m Moment, bound time.Duration) time.Duration {
+	own := m.Clock.Sub(time.UnixMilli(e.Clock))
+	if own >= 0 && own <= bound && bound-own < clockStep {
+		return min(bound, own+clockSkew)
+	}
+	return bound
+}
--- a/internal/jvgrant/keeper.go
+++ b/internal/jvgrant/keeper.go
@@ -46,7 +46,7 @@
 		Round:       500 * time.Millisecond,
 		Report:      2 * time.Second,
 		CallTimeout: time.Second,
-		Away:        2 * time.Second,
+		Away:        time.Second,
 	}
 }
 
@@ -66,7 +66,7 @@
 	seen    map[string]time.Time
 	lost    map[string]int64
 	demands map[string]*demand
-	wants   map[string]int64
+	wants   map[*want]bool
 	stepped time.Time
 	// told are the bounds on spending that the topic has, pending those that it may get.
 	told    map[string]Envelope
@@ -74,7 +74,7 @@
 	// pendingAt is where the pending records would stand.
 	pendingAt uint64
 	// born is when this process started.
-	born Moment
+	born     Moment
 	takeover takeover
 	// latest is the latest time of day that a record names.
 	latest time.Time
@@ -95,7 +95,7 @@
 		seen:    map[string]time.Time{},
 		lost:    map[string]int64{},
 		demands: map[string]*demand{},
-		wants:   map[string]int64{},
+		wants:   map[*want]bool{},
 		told:    map[string]Envelope{},
 		pending: map[string]Envelope{},
 		round:   make(chan struct{}),
@@ -119,17 +119,19 @@
 
 // Run makes rounds until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
-	idle := 0
+	idle := 0 // Rounds in a row that requests asked for and that changed nothing.
 	for ctx.Err() == nil {
-		idle++
-		if k.makeRound(ctx) {
-			idle = 0
-		}
+		wrote := k.makeRound(ctx)
 		select {
 		case <-ctx.Done():
 		case <-k.wake:
+			if wrote {
+				idle = 0
+			}
 			k.rest(ctx, idle)
+			idle++
 		case <-k.options.Timer.After(k.pause()):
+			idle = 0
 		}
 	}
 }
@@ -141,6 +143,9 @@
 )
 
 func (k *Keeper) rest(ctx context.Context, idle int) {
+	if idle == 0 {
+		return
+	}
 	select {
 	case <-ctx.Done():
 	case <-k.options.Timer.After(min(leastPause<<min(idle, 8), mostPause)):
@@ -149,7 +154,11 @@
 
 // pause spreads the rounds of routers that started together.
 func (k *Keeper) pause() time.Duration {
-	return time.Duration(float64(k.options.Round) * (0.75 + 0.5*k.options.Random()))
+	round := k.options.Round
+	if k.takingOver() {
+		round /= takeoverPace
+	}
+	return time.Duration(float64(round) * (0.75 + 0.5*k.options.Random()))
 }
 
 // apply takes over what the topic says.
@@ -336,7 +345,7 @@
 		Prepaid:   prepaid,
 		Totals:    k.book.Totals(workspace, k.options.Origin),
 		Available: k.escrow.Account(workspace).Available(),
-		Want:      k.wants[workspace],
+		Want:      k.wanted(workspace),
 		Routers:   routers,
 	}
 	if d := k.demands[workspace]; d != nil {
--- a/internal/jvgrant/policy.go
+++ b/internal/jvgrant/policy.go
@@ -12,8 +12,6 @@
 	Ahead float64
 	// Prior is the share that they hold before any demand is known.
 	Prior float64
-	// Growth is the factor on recent demand that a stated bound on spending allows.
-	Growth float64
 	// Low and High are the shares of the target below which a router takes more, and above
 	// which it gives back.
 	Low  float64
@@ -27,7 +25,6 @@
 		Requests: 2,
 		Ahead:    0.9,
 		Prior:    0.5,
-		Growth:   1.2,
 		Low:      0.8,
 		High:     1.4,
 	}
@@ -119,7 +116,7 @@
 // Envelope returns the bound on spending that a router states at a moment; used is what it
 // has spent or reserved by then.
 func (p Policy) Envelope(s Situation, used int64, m Moment) Envelope {
-	e := Envelope{Base: used, Stamp: int64(m.Uptime), Clock: m.Clock.UnixMilli(), Rate: int64(p.Growth * float64(s.Rate)), Size: max(s.Typical, s.Want)}
+	e := Envelope{Base: used, Stamp: int64(m.Uptime), Clock: m.Clock.UnixMilli(), Rate: s.Rate, Size: max(s.Typical*3/2, s.Want)}
 	if s.Rate == 0 {
 		held := s.Available
 		e.Rate = int64(float64(held) / p.Horizon.Seconds())
--- a/internal/jvgrant/reserve.go
+++ b/internal/jvgrant/reserve.go
@@ -12,32 +12,35 @@
 func (k *Keeper) Reserve(ctx context.Context, workspace string, tokens int64) (jvescrow.Reservation, error) {
 	const op = "reserve"
 	k.ask(workspace, tokens)
+	w := &want{workspace: workspace, tokens: tokens}
+	defer k.drop(w)
 	for first := true; ; first = false {
 		r, err := k.take(workspace, tokens)
 		if err == nil {
-			k.want(workspace, 0)
 			return r, nil
 		}
 		switch {
 		case !k.Ready():
 			return r, jvfault.Newf(op, KindUnready, "budgets have not been read yet")
 		case !k.InTouch():
-			return r, jvfault.Newf(op, KindShort, "this router holds %d of the %d tokens needed and the budgets' topic is away since %s",
-				k.escrow.Account(workspace).Available(), tokens, k.Contact().UTC())
+			return r, jvfault.Newf(op, KindShort, "this router may spend %d of the %d tokens needed and the budgets' topic is away since %s: %v",
+				k.room(workspace), tokens, k.Contact().UTC(), err)
 		case !first && k.spent(workspace, tokens):
 			return r, jvfault.Newf(op, KindSpent, "the prepaid budget has less left than the %d tokens that this request may use", tokens)
 		}
-		round := k.want(workspace, tokens)
+		round := k.want(w)
 		select {
 		case <-round:
 		case <-ctx.Done():
-			k.want(workspace, 0)
-			return r, jvfault.Newf(op, KindShort, "this router holds %d of the %d tokens needed and got no more in time",
-				k.escrow.Account(workspace).Available(), tokens)
+			return r, jvfault.Newf(op, KindShort, "this router may spend %d of the %d tokens needed and got no more in time: %v",
+				k.room(workspace), tokens, err)
 		}
 	}
 }
 
+// room returns what is held unreserved, for messages.
+func (k *Keeper) room(workspace string) int64 { return k.escrow.Account(workspace).Available() }
+
 // take reserves within what is held and within the bounds that the topic has or may get.
 func (k *Keeper) take(workspace string, tokens int64) (jvescrow.Reservation, error) {
 	k.mu.Lock()
@@ -68,16 +71,18 @@
 	d.ask(tokens)
 }
 
-// want notes what a request waits for, or with 0 that none does, and returns the channel that
-// is closed when the next round ends.
-func (k *Keeper) want(workspace string, tokens int64) <-chan struct{} {
+// want is a request that waits for tokens.
+type want struct {
+	workspace string
+	tokens    int64
+}
+
+// want asks for a round that serves a request and returns the channel that is closed when the
+// next round ends.
+func (k *Keeper) want(w *want) <-chan struct{} {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if tokens == 0 {
-		delete(k.wants, workspace)
-		return k.round
-	}
-	k.wants[workspace] = max(k.wants[workspace], tokens)
+	k.wants[w] = true
 	select {
 	case k.wake <- struct{}{}:
 	default:
@@ -85,6 +90,23 @@
 	return k.round
 }
 
+func (k *Keeper) drop(w *want) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.wants, w)
+}
+
+// wanted returns the largest request that waits for a workspace's tokens; k.mu must be held.
+func (k *Keeper) wanted(workspace string) int64 {
+	var most int64
+	for w := range k.wants {
+		if w.workspace == workspace {
+			most = max(most, w.tokens)
+		}
+	}
+	return most
+}
+
 // spent tells whether the budget is known not to cover a request, wherever it is held: what
 // routers say they used only lags behind what they did.
 func (k *Keeper) spent(workspace string, tokens int64) bool {
--- a/internal/jvgrant/takeover.go
+++ b/internal/jvgrant/takeover.go
@@ -30,8 +30,18 @@
 	historyRecords = 1000
 	// takeoverTime is how long after a start other routers' records are collected.
 	takeoverTime = 5 * time.Second
+	// takeoverPace is how many times more often a router that took over makes rounds meanwhile:
+	// its records tell the others the time.
+	takeoverPace = 4
 )
 
+// takingOver tells whether something may still be learned about an earlier start.
+func (k *Keeper) takingOver() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.takeover.holdings) > 0 && k.options.Timer.Now().Before(k.takeover.until)
+}
+
 // restore takes over what an earlier start held; k.mu must be held. What that can have spent
 // beyond what it reported counts as lost.
 func (k *Keeper) restore(workspace string, offset uint64, h Holding) {
@@ -114,6 +124,7 @@
 		if !ok {
 			continue
 		}
+		silence = h.Envelope.refine(k.born, silence)
 		bound := min(h.Net(), h.Envelope.after(silence))
 		if free := t.charged[w] - bound; free > 0 {
 			free = min(free, k.lost[w])
