--- a/internal/jvgrant/holding.go
+++ b/internal/jvgrant/holding.go
@@ -24,6 +24,8 @@
 	// machine that its uptime belongs to.
 	Envelope Envelope
 	Boot     string
+	// Start names the process that made the record: one of the start before may be added late.
+	Start string
 }
 
 // Net returns what the router may spend in all.
--- a/internal/jvgrant/keeper.go
+++ b/internal/jvgrant/keeper.go
@@ -15,17 +15,17 @@
 
 // Options are what a Keeper is built from.
 type Options struct {
-	// Origin is the router's name, the same at each start.
+	// Origin is the router's name, the same at each start; Start is never the same again.
 	Origin string
+	Start  string
 	Topic  jvkeyed.Topic
 	Timer  *jvtimer.Service
 	Logger logr.Logger
 	Random func() float64
 	Policy Policy
-	// Uptime is the time since the machine's start that Boot names; both tell what an earlier
-	// start of this process can have spent.
-	Uptime func() time.Duration
-	Boot   string
+	// Moment tells the machine's clocks, by which a start knows what the one before can have
+	// spent.
+	Moment func() Moment
 	// Prepaid returns the total of a workspace's budget in force, and false where none bounds it.
 	Prepaid func(workspace string) (int64, bool)
 	// Workspaces lists all workspaces with a budget.
@@ -100,7 +100,7 @@
 		pending: map[string]Envelope{},
 		round:   make(chan struct{}),
 	}
-	k.born = k.moment()
+	k.born = k.options.Moment()
 	k.takeover = newTakeover()
 	k.follower = jvkeyed.NewFollower(jvkeyed.Options{
 		Name:   "budgets",
@@ -113,10 +113,6 @@
 	return k
 }
 
-func (k *Keeper) moment() Moment {
-	return Moment{Boot: k.options.Boot, Uptime: k.options.Uptime(), Clock: k.options.Timer.Now()}
-}
-
 // Run makes rounds until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
 	idle := 0 // Rounds in a row that requests asked for and that changed nothing.
@@ -188,9 +184,11 @@
 			continue
 		}
 		if k.started {
-			k.escrow.Granted(workspace, h.Granted, 0)
-			k.told[workspace] = h.Envelope
-			delete(k.pending, workspace)
+			k.escrow.Adopt(workspace, h.Granted, h.Returned)
+			if h.Start == k.options.Start {
+				k.told[workspace] = h.Envelope
+				delete(k.pending, workspace)
+			}
 			continue
 		}
 		own[workspace] = h
@@ -321,13 +319,14 @@
 			"used", s.Totals.Used, "lost", s.Totals.Lost, "rate", s.Rate, "rates", s.Totals.Rate, "want", s.Want, "offset", k.follower.Next())
 	}
 	s.Available += take
-	h.Boot = k.options.Boot
-	moment := k.moment()
+	h.Boot = k.born.Boot
+	h.Start = k.options.Start
+	moment := k.options.Moment()
 	h.Envelope = k.options.Policy.Envelope(s, a.Use(), moment)
 	if pending, ok := k.pending[workspace]; ok {
 		h.Envelope = pending // It may be added yet, so a second bound would only tie the router down.
 	}
-	moved := h.Granted != old.Granted || h.Returned != old.Returned || h.Want != old.Want
+	moved := h.Granted != old.Granted || h.Returned != old.Returned || h.Want != old.Want || h.Start != old.Start
 	return h, moved || !known || k.drifted(old.Envelope, h.Envelope, moment.Uptime)
 }
 
--- a/internal/jvgrant/reserve.go
+++ b/internal/jvgrant/reserve.go
@@ -46,7 +46,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	use := k.escrow.Account(workspace).Use() + tokens
-	uptime := k.options.Uptime()
+	uptime := k.options.Moment().Uptime
 	told, ok := k.told[workspace]
 	if !ok || use > told.Limit(uptime) {
 		return jvescrow.Reservation{}, errBound
--- /dev/null
+++ b/internal/jvgrant/topic_test.go
@@ -0,0 +1,118 @@
+package jvgrant
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/jasminevale/jasminevale/internal/jvfault"
+	"github.com/jasminevale/jasminevale/internal/jvkeyed"
+)
+
+// memoryTopic is a topic in memory whose calls fail as the next outcome says.
+type memoryTopic struct {
+	records []jvkeyed.Item
+	// kept is the offset of the oldest record that a read still gives.
+	kept uint64
+	// late are appends that are carried out when they are let through.
+	late []lateAppend
+}
+
+type lateAppend struct {
+	at    uint64
+	items []jvkeyed.Item
+}
+
+func (m *memoryTopic) end() uint64 { return uint64(len(m.records)) }
+
+func (m *memoryTopic) add(at uint64, items []jvkeyed.Item) bool {
+	if at != m.end() {
+		return false
+	}
+	for n, i := range items {
+		m.records = append(m.records, jvkeyed.Item{Key: i.Key, Value: slices.Clone(i.Value), Offset: at + uint64(n)})
+	}
+	return true
+}
+
+// release carries out the appends that were held up.
+func (m *memoryTopic) release() {
+	for _, l := range m.late {
+		m.add(l.at, l.items)
+	}
+	m.late = nil
+}
+
+func (m *memoryTopic) newest() []jvkeyed.Item {
+	last := map[string]jvkeyed.Item{}
+	for _, r := range m.records {
+		last[r.Key] = r
+	}
+	var list []jvkeyed.Item
+	for _, r := range m.records {
+		if last[r.Key].Offset == r.Offset {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+// fate is what becomes of one router's calls.
+type fate string
+
+const (
+	fateDone  fate = "done"
+	fateLost  fate = "done, answer lost"
+	fateLate  fate = "done later"
+	fateCut   fate = "cut off"
+	fateBusy  fate = "refused"
+	fateReads fate = "reads only"
+	fateRaced fate = "another router writes in between"
+)
+
+// line is one router's way to the topic.
+type line struct {
+	topic *memoryTopic
+	fate  fate
+	// race lets another router make a round.
+	race func()
+}
+
+func (l *line) Newest(context.Context, string) (jvkeyed.Page, error) {
+	if l.fate == fateCut {
+		return jvkeyed.Page{}, jvfault.New[jvkeyed.Kind]("list", jvkeyed.KindUnknown, nil)
+	}
+	return jvkeyed.Page{Items: l.topic.newest(), End: l.topic.end()}, nil
+}
+
+func (l *line) Read(_ context.Context, from uint64, _ time.Duration) (jvkeyed.Page, error) {
+	switch {
+	case l.fate == fateCut:
+		return jvkeyed.Page{}, jvfault.New[jvkeyed.Kind]("read", jvkeyed.KindUnknown, nil)
+	case from < l.topic.kept:
+		return jvkeyed.Page{}, jvfault.New[jvkeyed.Kind]("read", jvkeyed.KindHorizon, nil)
+	}
+	return jvkeyed.Page{Items: slices.Clone(l.topic.records[from:]), End: l.topic.end()}, nil
+}
+
+func (l *line) AppendAt(_ context.Context, at uint64, items []jvkeyed.Item) (uint64, error) {
+	switch l.fate {
+	case fateRaced:
+		l.fate = fateDone
+		l.race()
+	case fateCut, fateReads:
+		return 0, jvfault.New[jvkeyed.Kind]("append", jvkeyed.KindUnknown, nil)
+	case fateBusy:
+		return 0, jvfault.New[jvkeyed.Kind]("append", jvkeyed.KindRefused, nil)
+	case fateLate:
+		l.topic.late = append(l.topic.late, lateAppend{at: at, items: items})
+		return 0, jvfault.New[jvkeyed.Kind]("append", jvkeyed.KindUnknown, nil)
+	}
+	if !l.topic.add(at, items) {
+		return 0, jvfault.New[jvkeyed.Kind]("append", jvkeyed.KindMoved, nil)
+	}
+	if l.fate == fateLost {
+		return 0, jvfault.New[jvkeyed.Kind]("append", jvkeyed.KindUnknown, nil)
+	}
+	return l.topic.end(), nil
+}
