--- a/internal/jvgrant/demand.go
+++ b/internal/jvgrant/demand.go
@@ -28,6 +28,9 @@
 	d.size += newest * (float64(tokens) - d.size)
 }
 
+// spare notes that a request used less than its worst case, in tokens.
+func (d *demand) spare(tokens int64) { d.asked -= tokens }
+
 // newDemand returns the demand that an earlier start knew.
 func newDemand(rate, size int64) *demand {
 	if rate == 0 {
@@ -42,7 +45,7 @@
 		return
 	}
 	keep := math.Exp(-passed.Seconds() / demandMemory.Seconds())
-	d.mean = d.mean*keep + (1-keep)*float64(d.asked)/passed.Seconds()
+	d.mean = max(0, d.mean*keep+(1-keep)*float64(d.asked)/passed.Seconds())
 	d.weight = d.weight*keep + (1 - keep)
 	d.asked = 0
 }
--- a/internal/jvgrant/envelope.go
+++ b/internal/jvgrant/envelope.go
@@ -34,19 +34,21 @@
 	return e.after(max(0, uptime-time.Duration(e.Stamp)))
 }
 
-// calm is the time over which a bound allows no more than mean demand and one request: most
-// restarts take less, and what a bound allows beyond that is lost with each.
-const calm = 2 * time.Second
-
-// growth is the part by which demand may grow once a router has been cut off for longer.
-const growth = 0.25
+// Most restarts take less than calm, and what a bound allows over a restart is lost: until
+// then it allows only a part of mean demand, beyond it all of that with room for growth.
+const (
+	calm      = 1750 * time.Millisecond
+	calmShare = 0.7
+	growth    = 0.25
+)
 
 func (e Envelope) after(span time.Duration) int64 {
-	limit := e.Base + e.Size + int64(float64(e.Rate)*span.Seconds())
-	if long := span - calm; long > 0 {
-		limit += int64(growth*float64(e.Rate)*long.Seconds()) + spread(e.Rate, e.Size, long)
+	mean := float64(e.Rate) * span.Seconds()
+	if span <= calm {
+		return e.Base + e.Size + int64(calmShare*mean)
 	}
-	return limit
+	long := span - calm
+	return e.Base + e.Size + int64(mean+growth*float64(e.Rate)*long.Seconds()) + spread(e.Rate, e.Size, long)
 }
 
 // clockGuard is the most by which the time of day may be set back between a record and the
--- a/internal/jvgrant/keeper.go
+++ b/internal/jvgrant/keeper.go
@@ -44,7 +44,7 @@
 		Logger:      logr.Discard(),
 		Policy:      DefaultPolicy(),
 		Round:       500 * time.Millisecond,
-		Report:      2 * time.Second,
+		Report:      time.Second,
 		CallTimeout: time.Second,
 		Away:        time.Second,
 	}
@@ -336,7 +336,7 @@
 	room := told.Limit(uptime) - now.Base
 	age := uptime - time.Duration(told.Stamp)
 	used := now.Base != told.Base
-	return room < now.Size || (used && (room > 4*now.Size || age > k.options.Report))
+	return room < now.Size || (used && (room > 3*now.Size || age > k.options.Report))
 }
 
 func (k *Keeper) situation(workspace string, prepaid int64, routers int) Situation {
--- a/internal/jvgrant/policy.go
+++ b/internal/jvgrant/policy.go
@@ -83,8 +83,8 @@
 	if float64(s.Available) < p.Low*float64(target) {
 		take = min(target-s.Available, free)
 	}
-	if need := s.Want - s.Available; need > take && need <= free {
-		take = need
+	if need := s.Want - s.Available; need > take {
+		take = min(need, free)
 	}
 	return take
 }
--- a/internal/jvgrant/reserve.go
+++ b/internal/jvgrant/reserve.go
@@ -58,7 +58,14 @@
 }
 
 // Settle ends a reservation with the tokens that were used.
-func (k *Keeper) Settle(r jvescrow.Reservation, used int64) { k.escrow.Settle(r, used) }
+func (k *Keeper) Settle(r jvescrow.Reservation, used int64) {
+	used = k.escrow.Settle(r, used)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if d := k.demands[r.Profile]; d != nil {
+		d.spare(r.Tokens - used)
+	}
+}
 
 func (k *Keeper) ask(workspace string, tokens int64) {
 	k.mu.Lock()
@@ -96,15 +103,15 @@
 	delete(k.wants, w)
 }
 
-// wanted returns the largest request that waits for a workspace's tokens; k.mu must be held.
+// wanted returns what requests wait for of a workspace's tokens; k.mu must be held.
 func (k *Keeper) wanted(workspace string) int64 {
-	var most int64
+	var sum int64
 	for w := range k.wants {
 		if w.workspace == workspace {
-			most = max(most, w.tokens)
+			sum += w.tokens
 		}
 	}
-	return most
+	return sum
 }
 
 // spent tells whether the budget is known not to cover a request, wherever it is held: what
