--- a/internal/jvgrant/book.go
+++ b/internal/jvgrant/book.go
@@ -1,15 +1,22 @@
 package jvgrant
 
-// Book is what the topic says of all holdings, by workspace and router.
+import "time"
+
+// Book is what the topics say of all routers.
 type Book struct {
-	holdings map[string]map[string]Holding
+	holdings   map[string]map[string]Holding
+	statements map[string]Statement
+	// heard is when a router's statement last changed.
+	heard map[string]time.Time
 }
 
 // NewBook returns an empty book.
-func NewBook() *Book { return &Book{holdings: map[string]map[string]Holding{}} }
+func NewBook() *Book {
+	return &Book{holdings: map[string]map[string]Holding{}, statements: map[string]Statement{}, heard: map[string]time.Time{}}
+}
 
-// Put takes over one holding.
-func (b *Book) Put(workspace, origin string, h Holding) {
+// Hold takes over one holding.
+func (b *Book) Hold(workspace, origin string, h Holding) {
 	m := b.holdings[workspace]
 	if m == nil {
 		m = map[string]Holding{}
@@ -18,12 +25,29 @@
 	m[origin] = h
 }
 
+// State takes over one statement.
+func (b *Book) State(origin string, s Statement, now time.Time) {
+	b.statements[origin] = s
+	b.heard[origin] = now
+}
+
 // Holding returns what a router has of a workspace's budget.
 func (b *Book) Holding(workspace, origin string) (Holding, bool) {
 	h, ok := b.holdings[workspace][origin]
 	return h, ok
 }
 
+// Routers counts those that were heard of since a time.
+func (b *Book) Routers(since time.Time) int {
+	n := 0
+	for _, at := range b.heard {
+		if !at.Before(since) {
+			n++
+		}
+	}
+	return n
+}
+
 // Totals are the sums over all routers of one budget.
 type Totals struct {
 	// Net is what routers may spend in all, Used what they say they have spent.
@@ -39,13 +63,16 @@
 // Totals sums up a workspace's budget; own is the router whose want is left out.
 func (b *Book) Totals(workspace, own string) Totals {
 	var t Totals
-	for origin, h := range b.holdings[workspace] {
+	for _, h := range b.holdings[workspace] {
 		t.Net += h.Net()
-		t.Used += h.Used
-		t.Lost += h.Lost
-		t.Rate += h.Rate
+	}
+	for origin, s := range b.statements {
+		r, _ := s.row(workspace)
+		t.Used += r.Used
+		t.Lost += r.Lost
+		t.Rate += r.Demand
 		if origin != own {
-			t.Want += h.Want
+			t.Want += r.Want
 		}
 	}
 	return t
--- a/internal/jvgrant/history_test.go
+++ b/internal/jvgrant/history_test.go
@@ -28,6 +28,7 @@
 	faultBlind    fault = "a router takes without the condition on the topic's end"
 	faultTrust    fault = "a clock that was set back by a minute is believed"
 	faultMajority fault = "most clocks are set back"
+	faultEpoch    fault = "every start speaks under the same epoch"
 	workspaceW          = "w"
 	routersPlayed       = 5
 	prepaidPlayed       = 30_000
@@ -46,29 +47,31 @@
 	boot   int
 	booted time.Time
 	// shift is what the machine's time of day is off by.
-	shift  time.Duration
-	line   *line
-	keeper *Keeper
-	open   []jvescrow.Reservation
+	shift      time.Duration
+	grants     *line
+	statements *line
+	keeper     *Keeper
+	open       []jvescrow.Reservation
 	// used is what requests at this machine truly used, over all its starts.
 	used int64
 }
 
 // history plays routers against one topic and counts what requests truly used.
 type history struct {
-	fault   fault
-	topic   *memoryTopic
-	nodes   []*node
-	prepaid int64
-	starts  int
+	fault      fault
+	grants     *memoryTopic
+	statements *memoryTopic
+	nodes      []*node
+	prepaid    int64
+	seed       uint64
 }
 
 // play returns what went wrong, or "".
 func play(t *testing.T, f fault, steps []step) (problem string) {
 	synctest.Test(t, func(*testing.T) {
-		h := &history{fault: f, topic: &memoryTopic{}, prepaid: prepaidPlayed}
+		h := &history{fault: f, grants: newMemoryTopic(), statements: newMemoryTopic(), prepaid: prepaidPlayed}
 		for n := range routersPlayed {
-			o := &node{name: fmt.Sprint("r", n), booted: time.Now(), line: &line{topic: h.topic, fate: fateDone}}
+			o := &node{name: fmt.Sprint("r", n), booted: time.Now(), grants: &line{topic: h.grants, fate: fateDone}, statements: &line{topic: h.statements, fate: fateDone}}
 			h.nodes = append(h.nodes, o)
 			h.start(o)
 		}
@@ -97,8 +100,8 @@
 		return fmt.Sprintf("%d tokens used of %d", used, h.prepaid)
 	}
 	var held int64
-	for _, i := range h.topic.newest() {
-		_, _, holding, err := decode(i)
+	for _, i := range h.grants.newest() {
+		_, _, holding, err := decodeHolding(i)
 		if err != nil {
 			return err.Error()
 		}
@@ -110,18 +113,23 @@
 	return ""
 }
 
+// random draws the same numbers in each play.
+func (h *history) random() float64 {
+	h.seed = h.seed*6364136223846793005 + 1442695040888963407
+	return float64(h.seed>>11) / (1 << 53)
+}
+
 func (h *history) start(o *node) {
 	options := DefaultOptions()
 	options.Origin = o.name
-	h.starts++
-	options.Start = fmt.Sprint(h.starts)
-	options.Topic = o.line
+	options.Grants = o.grants
+	options.Statements = o.statements
 	if h.fault == faultBlind {
-		options.Topic = &blindLine{line: o.line}
+		options.Grants = &blindLine{line: o.grants}
 	}
 	options.Timer = jvtimer.NewService()
 	options.Logger = logr.Discard()
-	options.Random = func() float64 { return 0.5 }
+	options.Random = h.random
 	options.Moment = func() Moment {
 		return Moment{Boot: fmt.Sprint(o.name, o.boot), Uptime: time.Since(o.booted), Clock: time.Now().Add(o.shift)}
 	}
@@ -150,7 +158,12 @@
 		o.keeper.lost[workspaceW] = 0
 	}
 	if h.fault == faultPending {
-		clear(o.keeper.pending)
+		o.keeper.speaker.pending = nil
+		o.keeper.speaker.unsure = false
+	}
+	if h.fault == faultEpoch {
+		o.keeper.speaker.epoch = 1
+		o.keeper.speaker.claimed = true
 	}
 }
 
@@ -166,12 +179,15 @@
 	case 7:
 		time.Sleep(time.Duration(s.Amount%4000) * time.Millisecond)
 	case 8:
-		o.line.fate = []fate{fateDone, fateRaced, fateLost, fateLate, fateCut, fateBusy, fateReads}[s.Amount%7]
-		o.line.race = func() { h.round(h.nodes[(s.Router+1)%len(h.nodes)]) }
+		fates := []fate{fateDone, fateRaced, fateLost, fateLate, fateCut, fateBusy, fateReads}
+		o.grants.fate = fates[s.Amount%len(fates)]
+		o.statements.fate = fates[s.Amount/len(fates)%len(fates)]
+		o.grants.race = func() { h.round(h.nodes[(s.Router+1)%len(h.nodes)]) }
 	case 9:
 		h.restart(o, s.Amount)
 	case 10:
-		h.topic.release()
+		h.grants.release()
+		h.statements.release()
 	case 11:
 		h.everyone(s.Amount)
 	case 12:
@@ -234,16 +250,22 @@
 	h.start(o)
 }
 
+// meet gives all calls of a router one fate.
+func (o *node) meet(f fate) {
+	o.grants.fate = f
+	o.statements.fate = f
+}
+
 // everyone lets all routers meet the same thing at once.
 func (h *history) everyone(amount int) {
 	switch amount % 3 {
 	case 0:
 		for _, o := range h.nodes {
-			o.line.fate = fateCut
+			o.meet(fateCut)
 		}
 	case 1:
 		for _, o := range h.nodes {
-			o.line.fate = fateDone
+			o.meet(fateDone)
 			h.round(o)
 		}
 	case 2:
@@ -274,7 +296,7 @@
 
 // TestFaultsAreNoticed: the property fails with each deliberate fault.
 func TestFaultsAreNoticed(t *testing.T) {
-	for _, f := range []fault{faultEmpty, faultBound, faultPending, faultBlind, faultTrust, faultMajority} {
+	for _, f := range []fault{faultEmpty, faultBound, faultPending, faultBlind, faultTrust, faultEpoch, faultMajority} {
 		t.Run(string(f), func(t *testing.T) {
 			caught, how := jvproperty.Caught(t, historyProperty(t, f))
 			require.True(t, caught, "not noticed")
--- /dev/null
+++ b/internal/jvgrant/options.go
@@ -0,0 +1,51 @@
+package jvgrant
+
+import (
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/jasminevale/jasminevale/internal/jvkeyed"
+	"github.com/jasminevale/jasminevale/internal/jvtimer"
+)
+
+// Options are what a Keeper is built from.
+type Options struct {
+	// Origin is the router's name, the same at each start.
+	Origin string
+	// Grants has what routers hold, Statements what they say of their spending.
+	Grants     jvkeyed.Topic
+	Statements jvkeyed.Topic
+	Timer      *jvtimer.Service
+	Logger     logr.Logger
+	Random     func() float64
+	Policy     Policy
+	// Moment tells the machine's clocks, by which a start knows what the one before can have
+	// spent.
+	Moment func() Moment
+	// Prepaid returns the total of a workspace's budget in force, and false where none bounds it.
+	Prepaid func(workspace string) (int64, bool)
+	// Workspaces lists all workspaces with a budget.
+	Workspaces func() []string
+	// Round is the pause between rounds, Report the most that statements lag behind spending.
+	Round  time.Duration
+	Report time.Duration
+	// CallTimeout bounds one call of a topic, Away is the silence after which it counts as away.
+	CallTimeout time.Duration
+	Away        time.Duration
+}
+
+// DefaultOptions returns options with all numbers set.
+func DefaultOptions() Options {
+	return Options{
+		Logger:      logr.Discard(),
+		Policy:      DefaultPolicy(),
+		Round:       500 * time.Millisecond,
+		Report:      time.Second,
+		CallTimeout: 700 * time.Millisecond,
+		Away:        time.Second,
+	}
+}
+
+// liveFor is how long a router counts as sharing budgets after its last statement.
+const liveFor = 15 * time.Second
--- a/internal/jvgrant/policy.go
+++ b/internal/jvgrant/policy.go
@@ -1,6 +1,9 @@
 package jvgrant
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Policy sizes what a router holds of a budget.
 type Policy struct {
@@ -12,9 +15,10 @@
 	Ahead float64
 	// Prior is the share that they hold before any demand is known.
 	Prior float64
-	// Low and High are the shares of the target below which a router takes more, and above
-	// which it gives back.
+	// Low, Fill and High are the shares of the target below which a router takes more, up to
+	// which it takes, and above which it gives back.
 	Low  float64
+	Fill float64
 	High float64
 }
 
@@ -26,7 +30,8 @@
 		Ahead:    0.9,
 		Prior:    0.5,
 		Low:      0.8,
-		High:     1.4,
+		Fill:     1.2,
+		High:     1.6,
 	}
 }
 
@@ -78,10 +83,17 @@
 	if free <= 0 {
 		return 0
 	}
+	return p.take(s, free)
+}
+
+// Wishes tells whether a router would take something if there were enough.
+func (p Policy) Wishes(s Situation) bool { return p.take(s, math.MaxInt64/2) > 0 }
+
+func (p Policy) take(s Situation, free int64) int64 {
 	target := p.Target(s)
 	take := int64(0)
 	if float64(s.Available) < p.Low*float64(target) {
-		take = min(target-s.Available, free)
+		take = min(int64(p.Fill*float64(target))-s.Available, free)
 	}
 	if need := s.Want - s.Available; need > take {
 		take = min(need, free)
@@ -108,19 +120,3 @@
 	part := float64(wantFactor*lack) * float64(s.Available) / float64(held)
 	return max(over, min(int64(part)+1, s.Available))
 }
-
-// unknownRequests is how many requests a budget's part is taken to be worth while no demand
-// is known.
-const unknownRequests = 10
-
-// Envelope returns the bound on spending that a router states at a moment; used is what it
-// has spent or reserved by then.
-func (p Policy) Envelope(s Situation, used int64, m Moment) Envelope {
-	e := Envelope{Base: used, Stamp: int64(m.Uptime), Clock: m.Clock.UnixMilli(), Rate: s.Rate, Size: max(s.Typical*3/2, s.Want)}
-	if s.Rate == 0 {
-		held := s.Available
-		e.Rate = int64(float64(held) / p.Horizon.Seconds())
-		e.Size = max(e.Size, held/unknownRequests)
-	}
-	return e
-}
--- a/internal/jvgrant/reserve.go
+++ b/internal/jvgrant/reserve.go
@@ -46,12 +46,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	use := k.escrow.Account(workspace).Use() + tokens
-	uptime := k.options.Moment().Uptime
-	told, ok := k.told[workspace]
-	if !ok || use > told.Limit(uptime) {
-		return jvescrow.Reservation{}, errBound
-	}
-	if pending, ok := k.pending[workspace]; ok && use > pending.Limit(uptime) {
+	if !k.speaker.allows(workspace, use, k.options.Moment().Uptime) {
 		return jvescrow.Reservation{}, errBound
 	}
 	return k.escrow.Reserve(workspace, tokens)
--- a/internal/jvgrant/sighting.go
+++ b/internal/jvgrant/sighting.go
@@ -5,20 +5,21 @@
 	"time"
 )
 
-// sighting is the time of day that a router wrote into a record. A router makes a record after
-// it has read the topic up to the place where the record will stand, so records tell in which
-// order things happened, whatever the clocks say.
+// sighting is the time of day that a router wrote into a statement. Places in the topic tell
+// in which order things happened, whatever the clocks say: a statement is made after its
+// maker has read the topic up to seen, and before it stands at its offset.
 type sighting struct {
 	origin string
 	offset uint64
+	seen   uint64
 	clock  time.Time
 }
 
-// elapsed returns the most time that can have passed between the making of the record at an
-// offset and the start of a process whose own first record stands at a later one, told by the
-// clocks of other routers alone. It holds while fewer than half of these are wrong: a router
-// read what stands before its record, so the record at from is no older than those before it,
-// and one made after the record at to is no earlier than the process's start.
+// elapsed returns the most time that can have passed between the making of a statement that
+// had seen the topic up to from, and the start of a process whose own first statement stands
+// at to, told by the clocks of other routers alone. It holds while fewer than half of these
+// are wrong: what stands before from was made earlier than the one, and whoever has seen to
+// made its statement after the other.
 func elapsed(list []sighting, own string, from, to uint64) (time.Duration, bool) {
 	before, after := map[string]time.Time{}, map[string]time.Time{}
 	for _, s := range list {
@@ -26,7 +27,7 @@
 		case s.origin == own:
 		case s.offset < from:
 			before[s.origin] = s.clock
-		case s.offset > to:
+		case s.seen > to:
 			if _, ok := after[s.origin]; !ok {
 				after[s.origin] = s.clock
 			}
--- a/internal/jvgrant/sighting_test.go
+++ b/internal/jvgrant/sighting_test.go
@@ -24,7 +24,7 @@
 			if o < wrong {
 				clock = clock.Add(time.Duration(step) * time.Millisecond)
 			}
-			list = append(list, sighting{origin: fmt.Sprint("r", o), offset: uint64(offset), clock: clock})
+			list = append(list, sighting{origin: fmt.Sprint("r", o), offset: uint64(offset), seen: uint64(offset), clock: clock})
 		}
 		step := rapid.IntRange(-5000, 5000)
 		for o := range others {
@@ -40,10 +40,10 @@
 // TestElapsedNeedsWitnesses: too few other routers prove nothing.
 func TestElapsedNeedsWitnesses(t *testing.T) {
 	at := time.Unix(1, 0)
-	list := []sighting{{"a", 1, at}, {"b", 2, at}, {"a", 9, at}, {"b", 10, at}}
+	list := []sighting{{"a", 1, 0, at}, {"b", 2, 1, at}, {"a", 9, 8, at}, {"b", 10, 9, at}}
 	_, ok := elapsed(list, "own", 5, 6)
 	require.False(t, ok)
-	list = append(list, sighting{"c", 3, at})
+	list = append(list, sighting{"c", 3, 2, at})
 	_, ok = elapsed(list, "own", 5, 6)
 	require.True(t, ok, "two of three wrote after the start, and one may be wrong")
 	_, ok = elapsed(list, "own", 5, 9)
--- /dev/null
+++ b/internal/jvgrant/speaker.go
@@ -0,0 +1,183 @@
+package jvgrant
+
+import (
+	"context"
+	"time"
+
+	"github.com/jasminevale/jasminevale/internal/jvfault"
+	"github.com/jasminevale/jasminevale/internal/jvkeyed"
+)
+
+// speaker makes this router's statements, one at a time. The keeper's lock guards it.
+type speaker struct {
+	epoch    uint64
+	sequence uint64
+	// told is the statement that the topic has, pending one that it may get; both bind.
+	told    *Statement
+	pending *Statement
+	// unsure is true while an append of pending may still be carried out: then it must not be
+	// replaced by another one.
+	unsure bool
+	// claimed is true once the topic refuses what earlier epochs append. Nothing is stated before:
+	// a late statement of an earlier start must not take the place of one of this start.
+	claimed bool
+}
+
+// epochRange is the range of the random part by which an epoch exceeds the last that is known,
+// so that two starts which know the same do not take the same.
+const epochRange = 1 << 31
+
+func (k *Keeper) nextEpoch(last uint64) uint64 {
+	return last + 1 + uint64(k.options.Random()*epochRange)
+}
+
+// allows tells whether spending up to use is within what has been stated.
+func (p *speaker) allows(workspace string, use int64, uptime time.Duration) bool {
+	if p.told == nil {
+		return false
+	}
+	if limit, ok := p.told.Limit(workspace, uptime); !ok || use > limit {
+		return false
+	}
+	if p.pending == nil {
+		return true
+	}
+	limit, ok := p.pending.Limit(workspace, uptime)
+	return ok && use <= limit
+}
+
+// claim makes the topic refuse what earlier starts of this router may still append.
+func (k *Keeper) claim(ctx context.Context) error {
+	k.mu.Lock()
+	epoch, claimed := k.speaker.epoch, k.speaker.claimed
+	k.mu.Unlock()
+	if claimed {
+		return nil
+	}
+	_, err := k.options.Statements.Append(ctx, jvkeyed.Producer{Name: k.options.Origin, Epoch: epoch}, nil)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	switch jvfault.KindOf[jvkeyed.Kind](err) {
+	case "", jvkeyed.KindRepeated:
+		k.speaker.claimed = true
+		k.options.Logger.Info("epoch claimed", "epoch", epoch)
+		return nil
+	case jvkeyed.KindFenced:
+		k.speaker.epoch = k.nextEpoch(epoch)
+	}
+	k.options.Logger.Info("epoch not claimed", "epoch", epoch, "cause", err.Error())
+	return err
+}
+
+// speak appends the pending statement, or a new one where none may still be carried out.
+func (k *Keeper) speak(ctx context.Context) error {
+	if err := k.claim(ctx); err != nil {
+		return err
+	}
+	k.mu.Lock()
+	p := &k.speaker
+	if !p.unsure {
+		next, due := k.compose()
+		if !due {
+			k.mu.Unlock()
+			return nil
+		}
+		p.pending = &next
+	}
+	statement := *p.pending
+	producer := jvkeyed.Producer{Name: k.options.Origin, Epoch: p.epoch, Sequence: p.sequence}
+	k.mu.Unlock()
+
+	_, err := k.options.Statements.Append(ctx, producer, []jvkeyed.Item{statement.Encode(k.options.Origin)})
+
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	switch jvfault.KindOf[jvkeyed.Kind](err) {
+	case "", jvkeyed.KindRepeated:
+		p.told = &statement
+		p.pending = nil
+		p.unsure = false
+		p.sequence++
+		return nil
+	case jvkeyed.KindRefused:
+		if !p.unsure {
+			p.pending = nil
+		}
+	case jvkeyed.KindFenced:
+		// An earlier start's claim was carried out late; it has stated nothing with it.
+		p.claimed = false
+		p.epoch = k.nextEpoch(p.epoch)
+	default:
+		p.unsure = true
+	}
+	k.options.Logger.Info("statement not confirmed", "epoch", producer.Epoch, "sequence", producer.Sequence, "cause", err.Error())
+	return err
+}
+
+// compose makes a statement of all budgets and tells whether it is due; k.mu must be held.
+func (k *Keeper) compose() (Statement, bool) {
+	m := k.options.Moment()
+	s := Statement{
+		Epoch: k.speaker.epoch,
+		Boot:  m.Boot,
+		Stamp: int64(m.Uptime),
+		Clock: m.Clock.UnixMilli(),
+		Seen:  k.statements.Next(),
+	}
+	due := k.speaker.told == nil
+	for _, w := range k.budgets() {
+		r := k.row(w)
+		due = due || k.rowDue(r, m.Uptime)
+		s.Rows = append(s.Rows, r)
+	}
+	return s, due
+}
+
+func (k *Keeper) row(workspace string) Row {
+	a := k.escrow.Account(workspace)
+	r := Row{
+		Workspace: workspace,
+		Used:      max(0, a.Spent-k.lost[workspace]),
+		Lost:      k.lost[workspace],
+		Base:      a.Use(),
+		Want:      k.wanted(workspace),
+	}
+	if d := k.demands[workspace]; d != nil {
+		r.Demand = d.rate()
+		r.Rate = r.Demand
+		r.Size = d.typical() * sizeHalves / 2
+	}
+	if r.Rate == 0 {
+		held := a.Available()
+		r.Rate = int64(float64(held) / k.options.Policy.Horizon.Seconds())
+		r.Size = max(r.Size, held/unknownRequests)
+	}
+	r.Size = max(r.Size, r.Want)
+	return r
+}
+
+const (
+	// sizeHalves is how many halves of a typical request a bound leaves room for at once.
+	sizeHalves = 10
+	// unknownRequests is how many requests a budget's part is taken to be worth while no
+	// demand is known.
+	unknownRequests = 10
+)
+
+// rowDue tells whether the bound that has been stated leaves too little room, or so much that
+// a restart would lose more than it has to, or is old.
+func (k *Keeper) rowDue(now Row, uptime time.Duration) bool {
+	told, ok := k.speaker.told.row(now.Workspace)
+	if !ok {
+		return true
+	}
+	age := uptime - time.Duration(k.speaker.told.Stamp)
+	room := told.after(max(age, 0)) - now.Base
+	if now.Want != 0 || told.Want != 0 || room < now.Size*2/3 {
+		return now.Want != told.Want || room < max(now.Size*2/3, now.Want)
+	}
+	return now.Base != told.Base && (room > spareSizes*now.Size || age > k.options.Report)
+}
+
+// spareSizes is the room, in typical requests, from which on a bound is stated anew.
+const spareSizes = 3
--- /dev/null
+++ b/internal/jvgrant/statement.go
@@ -0,0 +1,70 @@
+package jvgrant
+
+import (
+	"time"
+
+	"github.com/jasminevale/jasminevale/internal/jvcodec"
+	"github.com/jasminevale/jasminevale/internal/jvkeyed"
+)
+
+// Statement is what one router says of its spending: how much it was, and how much it can
+// become while nobody hears of it.
+type Statement struct {
+	_ struct{} `cbor:",toarray"`
+	// Epoch counts the starts of the router.
+	Epoch uint64
+	// Boot names the start of the machine, Stamp is its uptime in nanoseconds and Clock its
+	// time of day in Unix milliseconds when the statement was made.
+	Boot  string
+	Stamp int64
+	Clock int64
+	// Seen is the place up to which the router had read the statements' topic by then.
+	Seen uint64
+	Rows []Row
+}
+
+// Row is the part of a statement on one budget, in tokens.
+type Row struct {
+	_         struct{} `cbor:",toarray"`
+	Workspace string
+	// Used is what has been spent at least, Lost what an earlier start held and may have spent.
+	Used int64
+	Lost int64
+	// Base is what was spent or reserved, from which the bound on spending rises by Rate, in
+	// tokens a second. Size is a typical request, Want what requests wait for.
+	Base int64
+	Rate int64
+	Size int64
+	Want int64
+	// Demand is what callers ask for, in tokens a second; the bound may allow another rate.
+	Demand int64
+}
+
+// Encode returns the record of a router's statement.
+func (s Statement) Encode(origin string) jvkeyed.Item {
+	return jvkeyed.Item{Key: origin, Value: jvcodec.Encode(&s)}
+}
+
+func decodeStatement(i jvkeyed.Item) (Statement, error) {
+	if len(i.Value) == 0 {
+		return Statement{}, nil
+	}
+	return jvcodec.Decode[Statement](i.Value)
+}
+
+// row returns what a statement says of one budget.
+func (s Statement) row(workspace string) (Row, bool) {
+	for _, r := range s.Rows {
+		if r.Workspace == workspace {
+			return r, true
+		}
+	}
+	return Row{}, false
+}
+
+// Limit returns the most that the router may have spent or reserved of a budget at an uptime,
+// and false where the statement doesn't mention it.
+func (s Statement) Limit(workspace string, uptime time.Duration) (int64, bool) {
+	r, ok := s.row(workspace)
+	return r.after(max(0, uptime-time.Duration(s.Stamp))), ok
+}
--- a/internal/jvgrant/takeover.go
+++ b/internal/jvgrant/takeover.go
@@ -10,15 +10,14 @@
 // takeover is what this start of the router took over from the one before and may still learn
 // more about.
 type takeover struct {
-	// holdings are those whose bound rests on this machine's time of day alone, by workspace,
-	// with the offsets of their records.
-	holdings map[string]Holding
-	offsets  map[string]uint64
-	// charged is what has been counted as spent of each.
+	// last is the earlier start's last statement.
+	last *Statement
+	// held is what the earlier start might spend, charged what is counted as spent of it.
+	held    map[string]int64
 	charged map[string]int64
-	// sightings are the records of all routers around the restart, by offset.
+	// sightings are the statements of all routers around the restart, by offset.
 	sightings []sighting
-	// first is the offset of this start's first record, once it has one.
+	// first is the offset of this start's first statement, once it has one.
 	first   uint64
 	written bool
 	until   time.Time
@@ -26,12 +25,12 @@
 
 // Bounds on what a takeover looks at.
 const (
-	// historyRecords is how far back the topic is read: some seconds of all routers' records.
-	historyRecords = 1000
-	// takeoverTime is how long after a start other routers' records are collected.
+	// historyRecords is how far back statements are read: some seconds of all routers.
+	historyRecords = 300
+	// takeoverTime is how long after a start other routers' statements are collected.
 	takeoverTime = 5 * time.Second
 	// takeoverPace is how many times more often a router that took over makes rounds meanwhile:
-	// its records tell the others the time.
+	// its statements tell the others the time.
 	takeoverPace = 4
 )
 
@@ -39,44 +38,58 @@
 func (k *Keeper) takingOver() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return len(k.takeover.holdings) > 0 && k.options.Timer.Now().Before(k.takeover.until)
+	return k.takeover.last != nil && k.options.Timer.Now().Before(k.takeover.until)
 }
 
-// restore takes over what an earlier start held; k.mu must be held. What that can have spent
-// beyond what it reported counts as lost.
-func (k *Keeper) restore(workspace string, offset uint64, h Holding) {
+// takeOver counts as spent what an earlier start held and can have spent; what that is beyond
+// what it reported counts as lost. k.mu must be held.
+func (k *Keeper) takeOver() {
+	t := &k.takeover
+	t.until = k.options.Timer.Now().Add(takeoverTime)
+	last, stated := k.book.statements[k.options.Origin]
+	k.speaker.epoch = k.nextEpoch(last.Epoch)
 	born := k.born
-	if k.latest.After(born.Clock) {
-		born.Clock = k.latest // Another machine's clock is ahead, so this one's may have been set back.
+	for _, s := range k.book.statements {
+		if clock := time.UnixMilli(s.Clock); clock.After(born.Clock) {
+			born.Clock = clock // Another machine's clock is ahead, so this one's may have been set back.
+		}
+	}
+	silence, ok := last.silence(born)
+	for _, w := range k.budgets() {
+		h, held := k.book.Holding(w, k.options.Origin)
+		if !held {
+			continue
+		}
+		bound := h.Net()
+		r, known := last.row(w)
+		if stated && known && ok {
+			bound = min(bound, r.after(silence))
+		}
+		k.escrow.Restore(w, h.Granted, h.Returned, bound)
+		k.lost[w] = max(0, bound-r.Used)
+		k.demands[w] = newDemand(r.Demand, r.Size*2/sizeHalves)
+		t.held[w] = h.Net()
+		t.charged[w] = bound
+		k.options.Logger.Info("budget taken over", "workspace", w, "net", h.Net(), "used", r.Used, "lost", k.lost[w], "silence", silence.String())
 	}
-	bound := h.Bound(born)
-	silence, _ := h.Envelope.silence(h.Boot, born)
-	k.escrow.Restore(workspace, h.Granted, h.Returned, bound)
-	k.lost[workspace] = max(0, bound-h.Used)
-	k.demands[workspace] = newDemand(h.Rate, h.Envelope.Size)
-	if bound > h.Used {
-		k.takeover.holdings[workspace] = h
-		k.takeover.offsets[workspace] = offset
-		k.takeover.charged[workspace] = bound
+	if stated {
+		t.last = &last
 	}
-	k.options.Logger.Info("budget taken over", "workspace", workspace, "net", h.Net(), "used", h.Used,
-		"lost", k.lost[workspace], "silence", silence.String())
 }
 
-// readHistory collects the records that stood before the takeover.
+// readHistory collects the statements that stood before the takeover.
 func (k *Keeper) readHistory(ctx context.Context) {
 	k.mu.Lock()
-	needed := len(k.takeover.holdings) > 0
-	k.takeover.until = k.options.Timer.Now().Add(takeoverTime)
+	needed := k.takeover.last != nil
 	k.mu.Unlock()
 	if !needed {
 		return
 	}
-	next := k.follower.Next()
+	next := k.statements.Next()
 	from := next - min(next, historyRecords)
-	page, err := k.options.Topic.Read(ctx, from, 0)
+	page, err := k.options.Statements.Read(ctx, from, 0)
 	if err != nil {
-		k.options.Logger.Info("no history of budgets", "from", from, "cause", err.Error())
+		k.options.Logger.Info("no history of statements", "from", from, "cause", err.Error())
 		return
 	}
 	k.mu.Lock()
@@ -84,58 +97,57 @@
 	var list []sighting
 	for _, i := range page.Items {
 		if i.Offset < next {
-			list = k.sight(list, i)
+			list = sight(list, i)
 		}
 	}
 	k.takeover.sightings = append(list, k.takeover.sightings...)
 }
 
-// sight adds a record's clock to a list.
-func (k *Keeper) sight(list []sighting, i jvkeyed.Item) []sighting {
-	origin, _, h, err := decode(i)
-	if err != nil || h.Envelope.Clock == 0 {
+// sight adds a statement's clock to a list.
+func sight(list []sighting, i jvkeyed.Item) []sighting {
+	s, err := decodeStatement(i)
+	if err != nil || s.Clock == 0 {
 		return list // The follower reports what can't be read.
 	}
-	return append(list, sighting{origin: origin, offset: i.Offset, clock: time.UnixMilli(h.Envelope.Clock)})
+	return append(list, sighting{origin: i.Key, offset: i.Offset, seen: s.Seen, clock: time.UnixMilli(s.Clock)})
 }
 
 // learn frees what the clocks of other routers show not to have been spent; k.mu must be held.
 func (k *Keeper) learn(items []jvkeyed.Item) {
 	t := &k.takeover
-	if len(t.holdings) == 0 {
+	if t.last == nil {
 		return
 	}
 	if k.options.Timer.Now().After(t.until) {
-		k.takeover = newTakeover()
+		t.last = nil
+		t.sightings = nil
 		return
 	}
 	for _, i := range items {
-		t.sightings = k.sight(t.sightings, i)
-		if origin, _, _, err := decode(i); err == nil && origin == k.options.Origin && !t.written {
-			t.written = true
+		t.sightings = sight(t.sightings, i)
+		if i.Key == k.options.Origin && !t.written {
+			s, err := decodeStatement(i)
+			t.written = err == nil && s.Epoch == k.speaker.epoch
 			t.first = i.Offset
 		}
 	}
 	if !t.written {
 		return
 	}
-	for w, h := range t.holdings {
-		silence, ok := elapsed(t.sightings, k.options.Origin, t.offsets[w], t.first)
-		if !ok {
+	silence, ok := elapsed(t.sightings, k.options.Origin, t.last.Seen, t.first)
+	if !ok {
+		return
+	}
+	silence = t.last.refine(k.born, silence)
+	for w, charged := range t.charged {
+		r, known := t.last.row(w)
+		free := min(charged-min(t.held[w], r.after(silence)), k.lost[w])
+		if !known || free <= 0 {
 			continue
 		}
-		silence = h.Envelope.refine(k.born, silence)
-		bound := min(h.Net(), h.Envelope.after(silence))
-		if free := t.charged[w] - bound; free > 0 {
-			free = min(free, k.lost[w])
-			k.escrow.Refund(w, free)
-			k.lost[w] -= free
-			t.charged[w] -= free
-			k.options.Logger.Info("budget found unspent", "workspace", w, "tokens", free, "lost", k.lost[w], "silence", silence.String())
-		}
+		k.escrow.Refund(w, free)
+		k.lost[w] -= free
+		t.charged[w] -= free
+		k.options.Logger.Info("budget found unspent", "workspace", w, "tokens", free, "lost", k.lost[w], "silence", silence.String())
 	}
 }
-
-func newTakeover() takeover {
-	return takeover{holdings: map[string]Holding{}, offsets: map[string]uint64{}, charged: map[string]int64{}}
-}
--- a/internal/jvgrant/topic_test.go
+++ b/internal/jvgrant/topic_test.go
@@ -15,12 +15,34 @@
 	// kept is the offset of the oldest record that a read still gives.
 	kept uint64
 	// late are appends that are carried out when they are let through.
-	late []lateAppend
+	late      []func()
+	producers map[string]jvkeyed.Producer
 }
 
-type lateAppend struct {
-	at    uint64
-	items []jvkeyed.Item
+func newMemoryTopic() *memoryTopic {
+	return &memoryTopic{producers: map[string]jvkeyed.Producer{}}
+}
+
+// produce adds items as a producer's append; the kept producer names the next number.
+func (m *memoryTopic) produce(p jvkeyed.Producer, items []jvkeyed.Item) jvkeyed.Kind {
+	last, known := m.producers[p.Name]
+	switch {
+	case known && p.Epoch < last.Epoch:
+		return jvkeyed.KindFenced
+	case known && p.Epoch == last.Epoch && len(items) > 0 && p.Sequence < last.Sequence:
+		return "" // Its first answer again.
+	case known && p.Epoch == last.Epoch && len(items) > 0 && p.Sequence > last.Sequence:
+		return jvkeyed.KindRefused
+	}
+	next := p
+	if len(items) > 0 {
+		next.Sequence++
+	} else if known && p.Epoch == last.Epoch {
+		next.Sequence = last.Sequence
+	}
+	m.producers[p.Name] = next
+	m.add(m.end(), items)
+	return ""
 }
 
 func (m *memoryTopic) end() uint64 { return uint64(len(m.records)) }
@@ -37,8 +59,8 @@
 
 // release carries out the appends that were held up.
 func (m *memoryTopic) release() {
-	for _, l := range m.late {
-		m.add(l.at, l.items)
+	for _, carryOut := range m.late {
+		carryOut()
 	}
 	m.late = nil
 }
@@ -105,7 +127,7 @@
 	case fateBusy:
 		return 0, jvfault.New[jvkeyed.Kind]("append", jvkeyed.KindRefused, nil)
 	case fateLate:
-		l.topic.late = append(l.topic.late, lateAppend{at: at, items: items})
+		l.topic.late = append(l.topic.late, func() { l.topic.add(at, items) })
 		return 0, jvfault.New[jvkeyed.Kind]("append", jvkeyed.KindUnknown, nil)
 	}
 	if !l.topic.add(at, items) {
@@ -116,3 +138,22 @@
 	}
 	return l.topic.end(), nil
 }
+
+func (l *line) Append(_ context.Context, p jvkeyed.Producer, items []jvkeyed.Item) (uint64, error) {
+	switch l.fate {
+	case fateCut, fateReads:
+		return 0, jvfault.New[jvkeyed.Kind]("append", jvkeyed.KindUnknown, nil)
+	case fateBusy:
+		return 0, jvfault.New[jvkeyed.Kind]("append", jvkeyed.KindRefused, nil)
+	case fateLate:
+		l.topic.late = append(l.topic.late, func() { l.topic.produce(p, items) })
+		return 0, jvfault.New[jvkeyed.Kind]("append", jvkeyed.KindUnknown, nil)
+	}
+	if kind := l.topic.produce(p, items); kind != "" {
+		return 0, jvfault.New("append", kind, nil)
+	}
+	if l.fate == fateLost {
+		return 0, jvfault.New[jvkeyed.Kind]("append", jvkeyed.KindUnknown, nil)
+	}
+	return l.topic.end(), nil
+}
--- a/internal/jvkeyed/error.go
+++ b/internal/jvkeyed/error.go
@@ -15,6 +15,10 @@
 	KindHorizon Kind = "horizon"
 	// KindMoved means that the topic does not end where the caller thought.
 	KindMoved Kind = "moved"
+	// KindRepeated means that the append had been added before.
+	KindRepeated Kind = "repeated"
+	// KindFenced means that a later start of the writer has been seen.
+	KindFenced Kind = "fenced"
 )
 
 // Error is a failure of a topic.
--- a/internal/jvkeyed/topic.go
+++ b/internal/jvkeyed/topic.go
@@ -33,4 +33,16 @@
 	// end. KindMoved means that it ends elsewhere; KindUnknown leaves open whether the items
 	// were added or will be.
 	AppendAt(ctx context.Context, at uint64, items []Item) (uint64, error)
+	// Append adds items, all or none, as a producer's next append, and returns the topic's new
+	// end. KindRepeated means that the producer's append of this number was added before;
+	// KindFenced that a higher epoch of it has been seen.
+	Append(ctx context.Context, p Producer, items []Item) (uint64, error)
+}
+
+// Producer numbers the appends of one writer, so that they are added once and in order.
+type Producer struct {
+	Name string
+	// Epoch counts the writer's starts, Sequence its appends in this one.
+	Epoch    uint64
+	Sequence uint64
 }
--- a/internal/jvrelay/attempt.go
+++ b/internal/jvrelay/attempt.go
@@ -176,6 +176,9 @@
 	if !f.first.IsZero() {
 		values = append(values, "first", f.first.Sub(f.request.Arrived).Milliseconds())
 	}
+	if f.reserved > 0 {
+		values = append(values, "reserved", f.reserved.Milliseconds())
+	}
 	if f.cause != "" {
 		values = append(values, "cause", f.cause)
 	}
--- a/internal/jvrelay/flight.go
+++ b/internal/jvrelay/flight.go
@@ -27,6 +27,8 @@
 	unsent int
 	avoid  []string
 	target string
+	// reserved is when the budget was there, after the request's arrival.
+	reserved time.Duration
 	// begun is true once the caller has the beginning of an answer.
 	begun bool
 	// last is the id of the last event passed on, or -1.
--- a/internal/jvrelay/serve.go
+++ b/internal/jvrelay/serve.go
@@ -98,6 +98,7 @@
 	wait, cancel := context.WithTimeout(ctx, patience)
 	reservation, err := r.options.Budgets.Reserve(wait, f.workspace, total)
 	cancel()
+	f.reserved = r.options.Timer.Since(f.request.Arrived)
 	if err != nil {
 		f.cause = err.Error()
 		if jvfault.KindOf[jvgrant.Kind](err) == jvgrant.KindSpent {
