--- a/internal/jvgrant/demand.go
+++ b/internal/jvgrant/demand.go
@@ -58,5 +58,18 @@
 	return int64(d.mean / max(d.weight, 0.3))
 }
 
+// Room that a bound leaves at once, in typical requests and in seconds of demand: enough for
+// the requests that come between two statements, and little enough that a budget on which many
+// routers draw a little does not lose much with a restart.
+const (
+	leastRoom = 1.5
+	mostRoom  = 5
+	roomTime  = 0.3
+)
+
+func (d *demand) room(rate int64) int64 {
+	return int64(max(leastRoom*d.size, min(mostRoom*d.size, roomTime*float64(rate))))
+}
+
 // typical returns the size of a request in tokens.
 func (d *demand) typical() int64 { return int64(d.size) }
--- /dev/null
+++ b/internal/jvgrant/dump.go
@@ -0,0 +1,56 @@
+package jvgrant
+
+import (
+	"time"
+
+	"github.com/jasminevale/jasminevale/internal/jvescrow"
+)
+
+// View is one budget as the dump shows it, in tokens.
+type View struct {
+	Prepaid int64 `json:"prepaid"`
+	// Held is what all routers may spend in all, Used what they say they have spent, Lost what
+	// restarts may have spent.
+	Held    int64            `json:"held"`
+	Used    int64            `json:"used"`
+	Lost    int64            `json:"lost"`
+	Rate    int64            `json:"rate"`
+	Own     jvescrow.Account `json:"own"`
+	OwnRate int64            `json:"ownrate"`
+	// Limit is the bound on this router's spending that has been stated, as of now.
+	Limit int64 `json:"limit"`
+	// Routers are what the others hold, by name.
+	Routers map[string]int64 `json:"routers"`
+}
+
+// Dump is the state of a keeper.
+type Dump struct {
+	Ready   bool            `json:"ready"`
+	Contact time.Time       `json:"contact"`
+	Epoch   uint64          `json:"epoch"`
+	Grants  uint64          `json:"grants"`
+	Budgets map[string]View `json:"budgets"`
+}
+
+// Dump returns the state of all budgets.
+func (k *Keeper) Dump() Dump {
+	d := Dump{Ready: k.Ready(), Contact: k.Contact(), Grants: k.grants.Next(), Budgets: map[string]View{}}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	d.Epoch = k.speaker.epoch
+	for _, w := range k.budgets() {
+		s, _ := k.situation(w)
+		v := View{
+			Prepaid: s.Prepaid, Held: s.Totals.Net, Used: s.Totals.Used, Lost: s.Totals.Lost, Rate: s.Totals.Rate,
+			Own: k.escrow.Account(w), OwnRate: s.Rate, Routers: map[string]int64{},
+		}
+		if k.speaker.told != nil {
+			v.Limit, _ = k.speaker.told.Limit(w, k.options.Moment().Uptime)
+		}
+		for origin, h := range k.book.holdings[w] {
+			v.Routers[origin] = h.Net()
+		}
+		d.Budgets[w] = v
+	}
+	return d
+}
--- a/internal/jvgrant/options.go
+++ b/internal/jvgrant/options.go
@@ -41,7 +41,7 @@
 		Logger:      logr.Discard(),
 		Policy:      DefaultPolicy(),
 		Round:       500 * time.Millisecond,
-		Report:      time.Second,
+		Report:      500 * time.Millisecond,
 		CallTimeout: 700 * time.Millisecond,
 		Away:        time.Second,
 	}
--- a/internal/jvgrant/sighting.go
+++ b/internal/jvgrant/sighting.go
@@ -42,9 +42,12 @@
 	}
 	earliest, latest := ordered(before), ordered(after)
 	slices.Reverse(earliest)
-	return max(0, latest[wrong].Sub(earliest[wrong])), true
+	return max(0, latest[wrong].Sub(earliest[wrong])) + clockUnit, true
 }
 
+// clockUnit is the resolution of the time of day in statements: 12.9 ms are written as 12.
+const clockUnit = time.Millisecond
+
 // leastClocks is the number of other routers from which on their clocks are believed.
 const leastClocks = 3
 
--- a/internal/jvgrant/speaker.go
+++ b/internal/jvgrant/speaker.go
@@ -144,8 +144,9 @@
 	}
 	if d := k.demands[workspace]; d != nil {
 		r.Demand = d.rate()
+		r.Typical = d.typical()
 		r.Rate = r.Demand
-		r.Size = d.typical() * sizeHalves / 2
+		r.Size = d.room(r.Rate)
 	}
 	if r.Rate == 0 {
 		held := a.Available()
@@ -157,8 +158,6 @@
 }
 
 const (
-	// sizeHalves is how many halves of a typical request a bound leaves room for at once.
-	sizeHalves = 10
 	// unknownRequests is how many requests a budget's part is taken to be worth while no
 	// demand is known.
 	unknownRequests = 10
--- a/internal/jvgrant/statement.go
+++ b/internal/jvgrant/statement.go
@@ -31,13 +31,14 @@
 	Used int64
 	Lost int64
 	// Base is what was spent or reserved, from which the bound on spending rises by Rate, in
-	// tokens a second. Size is a typical request, Want what requests wait for.
+	// tokens a second. Size is the room that it leaves at once, Want what requests wait for.
 	Base int64
 	Rate int64
 	Size int64
 	Want int64
-	// Demand is what callers ask for, in tokens a second; the bound may allow another rate.
-	Demand int64
+	// Typical is the size of a typical request, Demand is what callers ask for, in tokens a second; the bound may allow another rate.
+	Demand  int64
+	Typical int64
 }
 
 // Encode returns the record of a router's statement.
--- /dev/null
+++ b/internal/jvmeter/relay.go
@@ -0,0 +1,48 @@
+package jvmeter
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Relay is the metrics of a router that passes requests on as they came.
+type Relay struct {
+	set *metrics.Set
+	// First and Total are times in seconds from arrival to the answer's beginning and its end,
+	// Reserve the time until the budget was there.
+	First   *metrics.Histogram
+	Total   *metrics.Histogram
+	Reserve *metrics.Histogram
+}
+
+// NewRelay returns metrics in a set of their own.
+func NewRelay() *Relay {
+	s := metrics.NewSet()
+	return &Relay{
+		set:     s,
+		First:   s.NewHistogram("jv_relay_first_seconds"),
+		Total:   s.NewHistogram("jv_relay_total_seconds"),
+		Reserve: s.NewHistogram("jv_relay_reserve_seconds"),
+	}
+}
+
+// Outcome counts a final answer by route and what became of the request.
+func (m *Relay) Outcome(route, outcome string, status int) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("jv_relay_requests_total{route=%q,outcome=%q,status=\"%d\"}", route, outcome, status)).Inc()
+}
+
+// Attempt counts an attempt by pool and kind of failure, which is empty for a whole answer.
+func (m *Relay) Attempt(pool, kind string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("jv_relay_attempts_total{pool=%q,failure=%q}", pool, kind)).Inc()
+}
+
+// Gauge registers a value that is read when the metrics are written; name may carry labels.
+func (m *Relay) Gauge(name string, read func() float64) { m.set.GetOrCreateGauge(name, read) }
+
+// Write writes all metrics, those of the process included.
+func (m *Relay) Write(w io.Writer) {
+	m.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
--- a/internal/jvrelay/attempt.go
+++ b/internal/jvrelay/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -17,7 +16,10 @@
 func (r *Relay) attempt(ctx context.Context, f *flight, lease jvtarget.Lease) (err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	defer func() { lease.Release(endingOf(err)) }()
+	defer func() {
+		r.options.Meter.Attempt(f.pool, string(jvfault.KindOf[Kind](err)))
+		lease.Release(endingOf(err))
+	}()
 	reply, err := r.options.Sender.Send(ctx, Dispatch{
 		Request:   f.request,
 		Target:    lease.Target,
@@ -155,38 +157,3 @@
 	}
 	return nil
 }
-
-// log writes the line by which a request's way is explained.
-func (r *Relay) log(ctx context.Context, f *flight, p *Problem) {
-	now := r.options.Timer.Now()
-	outcome := "whole"
-	switch {
-	case p != nil && f.begun:
-		outcome = "cut"
-	case p != nil:
-		outcome = p.Name
-	case !f.whole:
-		outcome = "gone"
-	}
-	values := []any{
-		"request", f.request.ID, "outcome", outcome, "status", f.status, "route", f.route.Name, "version", f.version,
-		"workspace", f.workspace, "pool", f.pool, "target", f.target, "tries", f.tries, "runs", f.runs,
-		"events", f.events, "ms", now.Sub(f.request.Arrived).Milliseconds(),
-	}
-	if !f.first.IsZero() {
-		values = append(values, "first", f.first.Sub(f.request.Arrived).Milliseconds())
-	}
-	if f.reserved > 0 {
-		values = append(values, "reserved", f.reserved.Milliseconds())
-	}
-	if f.cause != "" {
-		values = append(values, "cause", f.cause)
-	}
-	if p != nil && p.Retry > 0 {
-		values = append(values, "retry", p.Retry.Round(time.Millisecond).String())
-	}
-	if ctx.Err() != nil {
-		values = append(values, "caller", "left")
-	}
-	r.options.Logger.Info("request", values...)
-}
--- /dev/null
+++ b/internal/jvrelay/dump.go
@@ -0,0 +1,54 @@
+package jvrelay
+
+import (
+	"time"
+
+	"github.com/jasminevale/jasminevale/internal/jvtarget"
+)
+
+// Dump is a relay's state as the operations port shows it.
+type Dump struct {
+	At time.Time `json:"at"`
+	// Ready is empty while callers may be sent here, else why not.
+	Ready    string                       `json:"ready"`
+	Version  uint64                       `json:"version"`
+	Routes   int                          `json:"routes"`
+	Active   int64                        `json:"active"`
+	Pools    map[string]jvtarget.PoolView `json:"pools"`
+	Retries  map[string]float64           `json:"retries"`
+	Budgets  any                          `json:"budgets"`
+	Settings any                          `json:"settings"`
+}
+
+// Dump returns the relay's state.
+func (r *Relay) Dump() Dump {
+	d := Dump{At: r.options.Timer.Now(), Active: r.Active(), Pools: r.targets.Views(), Retries: map[string]float64{}}
+	_, d.Ready = r.Ready()
+	if t := r.table.Load(); t != nil {
+		d.Version = t.Version()
+		d.Routes = t.Routes()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for pool, b := range r.retries {
+		d.Retries[pool] = b.Saved()
+	}
+	return d
+}
+
+// Gauges registers what the relay holds with its metrics.
+func (r *Relay) Gauges() {
+	r.options.Meter.Gauge("jv_relay_active", func() float64 { return float64(r.Active()) })
+	r.options.Meter.Gauge("jv_relay_ready", func() float64 {
+		if ok, _ := r.Ready(); ok {
+			return 1
+		}
+		return 0
+	})
+	r.options.Meter.Gauge("jv_relay_config_version", func() float64 {
+		if t := r.table.Load(); t != nil {
+			return float64(t.Version())
+		}
+		return 0
+	})
+}
--- a/internal/jvrelay/options.go
+++ b/internal/jvrelay/options.go
@@ -8,6 +8,7 @@
 
 	"github.com/jasminevale/jasminevale/internal/jvchance"
 	"github.com/jasminevale/jasminevale/internal/jvescrow"
+	"github.com/jasminevale/jasminevale/internal/jvmeter"
 	"github.com/jasminevale/jasminevale/internal/jvtarget"
 	"github.com/jasminevale/jasminevale/internal/jvtimer"
 )
@@ -30,6 +31,7 @@
 	Logger  logr.Logger
 	Sender  Sender
 	Budgets Budgets
+	Meter   *jvmeter.Relay
 	Weights jvtarget.Weights
 	// RetryShare is the number of retries that one request earns, RetrySaved the most saved up
 	// for a pool.
@@ -50,6 +52,7 @@
 func DefaultOptions() Options {
 	return Options{
 		Logger:       logr.Discard(),
+		Meter:        jvmeter.NewRelay(),
 		Weights:      jvtarget.Weights{Far: 0.10, Prefix: 0.75, Wide: true, Fade: time.Second},
 		RetryShare:   0.15,
 		RetrySaved:   5,
--- a/internal/jvrelay/relay.go
+++ b/internal/jvrelay/relay.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/jasminevale/jasminevale/internal/jvmeter"
 	"github.com/jasminevale/jasminevale/internal/jvretry"
 	"github.com/jasminevale/jasminevale/internal/jvroute"
 	"github.com/jasminevale/jasminevale/internal/jvtarget"
@@ -38,6 +39,9 @@
 // Registry returns the list of targets.
 func (r *Relay) Registry() *Registry { return r.registry }
 
+// Meter returns the relay's metrics.
+func (r *Relay) Meter() *jvmeter.Relay { return r.options.Meter }
+
 // Table returns the configuration in force, or nil.
 func (r *Relay) Table() *jvroute.Table { return r.table.Load() }
 
--- /dev/null
+++ b/internal/jvsetting/relay_test.go
@@ -0,0 +1,48 @@
+package jvsetting
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+	"github.com/stretchr/testify/require"
+)
+
+const goodRelay = `{
+  "operations": {"port": 9464},
+  "budget": {"horizon": 10, "ahead": 90, "prior": 50},
+  "retry": {"share": 15, "saved": 5},
+  "log": {"level": 0}
+}`
+
+func TestParseRelay(t *testing.T) {
+	r, err := ParseRelay([]byte(goodRelay))
+	require.NoError(t, err)
+	require.Equal(t, int64(10), r.Budget.Horizon)
+}
+
+// TestDeployedSettings: the file that the deployment uses is in order.
+func TestDeployedSettings(t *testing.T) {
+	body, err := os.ReadFile("../../deploy/router.json")
+	require.NoError(t, err)
+	_, err = ParseRelay(body)
+	require.NoError(t, err)
+}
+
+// TestParseRelayErrors: each fault of a file is told with its place, all of them at once.
+func TestParseRelayErrors(t *testing.T) {
+	var b strings.Builder
+	for _, c := range []struct{ name, text string }{
+		{"empty", ""},
+		{"unknown field", strings.Replace(goodRelay, `"horizon"`, `"horizont"`, 1)},
+		{"wrong type", strings.Replace(goodRelay, `"port": 9464`, `"port": "9464"`, 1)},
+		{"everything missing", "{}"},
+		{"several at once", strings.NewReplacer("9464", "80", `"ahead": 90`, `"ahead": 0`, `"level": 0`, `"level": 9`).Replace(goodRelay)},
+	} {
+		_, err := ParseRelay([]byte(c.text))
+		require.Error(t, err, c.name)
+		b.WriteString("== " + c.name + "\n" + err.Error() + "\n")
+	}
+	goldie.New(t).Assert(t, "relay", []byte(b.String()))
+}
