--- /dev/null
+++ b/internal/jvrelay/fake_test.go
@@ -0,0 +1,198 @@
+package jvrelay
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"github.com/jasminevale/jasminevale/internal/jvchance"
+	"github.com/jasminevale/jasminevale/internal/jvconfig"
+	"github.com/jasminevale/jasminevale/internal/jvescrow"
+	"github.com/jasminevale/jasminevale/internal/jvfault"
+	"github.com/jasminevale/jasminevale/internal/jvgrant"
+	"github.com/jasminevale/jasminevale/internal/jvroute"
+	"github.com/jasminevale/jasminevale/internal/jvtimer"
+)
+
+// script says what one attempt meets.
+type script struct {
+	err      Kind
+	status   int
+	body     string
+	refused  bool
+	unsigned bool
+	// cut ends the body with an error in place of its end; hang never ends it.
+	cut  bool
+	hang bool
+	// after is how long the target takes to answer.
+	after time.Duration
+}
+
+// scriptSender gives each attempt the next script and notes what was sent.
+type scriptSender struct {
+	scripts []script
+	sent    []string
+}
+
+func (s *scriptSender) Send(ctx context.Context, d Dispatch) (*Reply, error) {
+	if len(s.scripts) == 0 {
+		return nil, jvfault.Newf("send", KindUnsent, "nothing more is scripted")
+	}
+	c := s.scripts[0]
+	s.scripts = s.scripts[1:]
+	line := "sent"
+	if d.LastEvent != "" {
+		line += " after event " + d.LastEvent
+	}
+	if d.Workspace != "" {
+		line += " for " + d.Workspace
+	}
+	s.sent = append(s.sent, line)
+	select {
+	case <-ctx.Done():
+		return nil, jvfault.New("send", KindBroken, ctx.Err())
+	case <-time.After(c.after):
+	}
+	if c.err != "" {
+		return nil, jvfault.New("send", c.err, nil)
+	}
+	return &Reply{
+		Status: c.status, Header: http.Header{}, Body: io.NopCloser(&scriptBody{ctx: ctx, rest: c.body, script: c}),
+		Refused: c.refused, Signed: !c.unsigned,
+	}, nil
+}
+
+type scriptBody struct {
+	ctx    context.Context //nolint:containedctx // It ends the body as it ends a real one.
+	rest   string
+	script script
+}
+
+func (b *scriptBody) Read(p []byte) (int, error) {
+	if b.rest != "" {
+		n := copy(p, b.rest)
+		b.rest = b.rest[n:]
+		return n, nil
+	}
+	switch {
+	case b.script.cut:
+		return 0, io.ErrUnexpectedEOF
+	case b.script.hang:
+		<-b.ctx.Done()
+		return 0, b.ctx.Err()
+	}
+	return 0, io.EOF
+}
+
+// callerFake notes what a caller got.
+type callerFake struct {
+	got bytes.Buffer
+}
+
+func (c *callerFake) Begin(status int, _ http.Header, length int64) {
+	fmt.Fprintf(&c.got, "%d length %d: ", status, length)
+}
+
+func (c *callerFake) Write(p []byte) error {
+	c.got.WriteString(strings.ReplaceAll(string(p), "\n", "|"))
+	return nil
+}
+
+func (c *callerFake) Refuse(p Problem) {
+	fmt.Fprintf(&c.got, "refused %d %s, come back after %s", p.Status, p.Name, p.Retry)
+}
+
+func (c *callerFake) Abort() { c.got.WriteString("... cut") }
+
+// budgetFake holds a fixed number of tokens.
+type budgetFake struct {
+	left  int64
+	kind  jvgrant.Kind
+	ready bool
+}
+
+func (b *budgetFake) Reserve(_ context.Context, workspace string, tokens int64) (jvescrow.Reservation, error) {
+	if tokens > b.left {
+		return jvescrow.Reservation{}, jvfault.Newf("reserve", b.kind, "too little is left")
+	}
+	b.left -= tokens
+	return jvescrow.Reservation{Profile: workspace, Tokens: tokens}, nil
+}
+
+func (b *budgetFake) Settle(r jvescrow.Reservation, used int64) { b.left += r.Tokens - used }
+
+func (b *budgetFake) Ready() bool { return b.ready }
+
+// stage is a relay with three targets.
+type stage struct {
+	relay   *Relay
+	sender  *scriptSender
+	budgets *budgetFake
+}
+
+func newStage(t *testing.T, scripts ...script) *stage {
+	s := &stage{sender: &scriptSender{scripts: scripts}, budgets: &budgetFake{left: 10_000, kind: jvgrant.KindShort, ready: true}}
+	timer := jvtimer.NewService()
+	t.Cleanup(timer.Close)
+	o := DefaultOptions()
+	o.Zone = "a"
+	o.Timer = timer
+	o.Chance = jvchance.NewSource([32]byte{1})
+	o.Logger = logr.Discard()
+	o.Sender = s.sender
+	o.Budgets = s.budgets
+	s.relay = NewRelay(o)
+	s.relay.Configure(table(1))
+	entries := map[string]*Entry{}
+	for n := range 3 {
+		id := fmt.Sprint("t", n)
+		entries[id] = &Entry{Pool: "p", Target: jvconfig.Target{Name: id, Zone: "a", Address: id + ":1", Slots: 4}}
+	}
+	s.relay.Registry().Put(entries, true)
+	return s
+}
+
+func table(version uint64) *jvroute.Table {
+	shares := []jvroute.Share{{Pool: "p", Weight: 1}}
+	route := func(name string, kind jvroute.Kind, attempts int, resumable bool) jvroute.Route {
+		return jvroute.Route{
+			Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, Timeout: 2 * time.Second,
+			Aim: 300 * time.Millisecond, Attempts: attempts, Shares: shares, Resumable: resumable,
+		}
+	}
+	return jvroute.NewTable(version, jvroute.Limits{}).
+		WithRoutes([]jvroute.Route{
+			route("safe", jvroute.KindSafe, 2, false), route("once", jvroute.KindUnsafe, 1, false),
+			route("stream", jvroute.KindStream, 2, true), route("fixed", jvroute.KindStream, 1, false),
+		}).
+		WithWorkspaces([]jvroute.Workspace{{Name: "w", Keys: []string{"key"}, Priority: -1, Prepaid: 10_000}}).
+		WithPools([]jvroute.Pool{{Name: "p", Engine: true, EventTokens: 7}})
+}
+
+// serve sends one request of a route and returns what the caller got.
+func (s *stage) serve(ctx context.Context, t *testing.T, route string, change func(q *Request)) string {
+	t.Helper()
+	now := time.Now()
+	q := &Request{
+		ID: "r", Method: "POST", Host: "h", Path: "/" + route + "/x", URI: "/" + route + "/x", Header: http.Header{},
+		Key: "key", Arrived: now, Deadline: now.Add(3 * time.Second),
+	}
+	if route == "stream" || route == "fixed" {
+		q.Usage = Usage{Prompt: 1000, Output: 80}
+	}
+	if change != nil {
+		change(q)
+	}
+	c := &callerFake{}
+	s.relay.Serve(ctx, q, c)
+	require.Zero(t, s.relay.Active())
+	return c.got.String()
+}
