--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 BIN := bin
-MODULES := internal cmd/jvctl cmd/jvload cmd/jvrouter cmd/jvstand
+MODULES := internal platform cmd/jvctl cmd/jvload cmd/jvrouter cmd/jvstand
 LINT := $(shell $(GO) env GOPATH)/bin/golangci-lint
 LINT_VERSION := v2.15.0
 GOA_VERSION := v3.25.3
@@ -34,7 +34,7 @@
 
 # Writes the golden files of tests anew; read the difference before committing it.
 golden: build
-	@cd internal && $(GO) test ./jvfleet ./jvsetting ./jvoperator -run 'Errors|FaultMatrix' -update
+	@cd internal && $(GO) test ./jvfleet ./jvsetting ./jvoperator ./jvrelay -run 'Errors|FaultMatrix|Failures|Streams' -update
 	@cd cmd/jvload && JV_BIN=$(CURDIR)/$(BIN) $(GO) test . -run BadInput -update
 
 # Benchmarks of the decisions, then what a router adds end to end. Figures never fail it.
@@ -49,6 +49,9 @@
 # Searches further than CI does: longer random histories, then each fuzz target for a minute.
 deep:
 	@cd internal && JV_SEED=$${JV_SEED:-7} JV_CHECKS=15000 JV_STEPS=600 $(GO) test ./jvfleet -run TestBudgetProperty
+	@cd internal && JV_SEED=$${JV_SEED:-7} JV_CHECKS=20000 $(GO) test ./jvgrant -run TestNeverMoreThanPrepaid
+	@cd platform && for t in FuzzDecodePage FuzzDecodeConfig FuzzDecodeTarget FuzzDecodeParts; do \
+		$(GO) test . -run '^$$' -fuzz $$t -fuzztime 1m || exit 1; done
 	@cd internal && for t in jvledger:FuzzApply jvledger:FuzzRestore jvsetting:FuzzParseRouter jvoperator:FuzzParseBundle; do \
 		$(GO) test ./$${t%%:*} -run '^$$' -fuzz $${t##*:} -fuzztime 1m || exit 1; done
 
--- a/internal/jvgrant/history_test.go
+++ b/internal/jvgrant/history_test.go
@@ -233,7 +233,7 @@
 		o.booted = time.Now().Add(-time.Duration(amount%97) * time.Second)
 		// One machine's clock is set, by more than what clocks differ by and less than the guard.
 		if o == h.nodes[0] {
-			o.shift = []time.Duration{0, -1100, -2900, 1100, 2900}[amount/2%5] * time.Millisecond
+			o.shift = []time.Duration{0, -1100 * time.Millisecond, -2900 * time.Millisecond, 1100 * time.Millisecond, 2900 * time.Millisecond}[amount/2%5]
 		}
 		if h.fault == faultTrust {
 			o.shift = -time.Minute
--- a/internal/jvgrant/keeper.go
+++ b/internal/jvgrant/keeper.go
@@ -148,7 +148,7 @@
 	}
 	k.stepDemand()
 	stated := k.say(ctx)
-	k.call(ctx, func(ctx context.Context) error { return k.statements.Poll(ctx, 0) })
+	_ = k.call(ctx, func(ctx context.Context) error { return k.statements.Poll(ctx, 0) }) // The follower reports it.
 	taken := k.settled() && k.trade(ctx)
 	if taken {
 		stated = k.say(ctx) || stated
--- a/internal/jvrelay/serve.go
+++ b/internal/jvrelay/serve.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/jasminevale/jasminevale/internal/jvfault"
 	"github.com/jasminevale/jasminevale/internal/jvgrant"
 	"github.com/jasminevale/jasminevale/internal/jvtarget"
@@ -154,7 +156,8 @@
 		return mayHaveRun(err.Error())
 	}
 	retry := targetRetry
-	if refusal, ok := err.(*jvtarget.Refusal); ok && refusal.Cause.Kind == jvtarget.KindOverloaded {
+	var refusal *jvtarget.Refusal
+	if errors.As(err, &refusal) && refusal.Cause.Kind == jvtarget.KindOverloaded {
 		retry = max(retry, refusal.Retry/2)
 	}
 	return notRun("overloaded", err.Error(), retry)
