--- a/internal/jvgrant/takeover.go
+++ b/internal/jvgrant/takeover.go
@@ -20,7 +20,9 @@
 	// first is the offset of this start's first statement, once it has one.
 	first   uint64
 	written bool
-	until   time.Time
+	// waited is how long after its start the process made that.
+	waited time.Duration
+	until  time.Time
 }
 
 // Bounds on what a takeover looks at.
@@ -49,8 +51,9 @@
 	last, stated := k.book.statements[k.options.Origin]
 	k.speaker.epoch = k.nextEpoch(last.Epoch)
 	born := k.born
+	since := k.options.Moment().Uptime - born.Uptime // What has passed since this process started.
 	for _, s := range k.book.statements {
-		if clock := time.UnixMilli(s.Clock); clock.After(born.Clock) {
+		if clock := time.UnixMilli(s.Clock).Add(-since); clock.After(born.Clock) {
 			born.Clock = clock // Another machine's clock is ahead, so this one's may have been set back.
 		}
 	}
@@ -129,6 +132,7 @@
 			s, err := decodeStatement(i)
 			t.written = err == nil && s.Epoch == k.speaker.epoch
 			t.first = i.Offset
+			t.waited = time.Duration(s.Stamp) - k.born.Uptime
 		}
 	}
 	if !t.written {
@@ -138,7 +142,7 @@
 	if !ok {
 		return
 	}
-	silence = t.last.refine(k.born, silence)
+	silence = t.last.refine(k.born, max(0, silence-t.waited))
 	for w, charged := range t.charged {
 		r, known := t.last.row(w)
 		free := min(charged-min(t.held[w], r.after(silence)), k.lost[w])
--- a/internal/jvrelay/attempt.go
+++ b/internal/jvrelay/attempt.go
@@ -36,6 +36,9 @@
 	if reply.Load != nil {
 		r.targets.Report(f.pool, lease.Target.Name, *reply.Load)
 	}
+	if reply.Misplaced {
+		r.registry.displace(lease.Target.Name)
+	}
 	switch {
 	case reply.Refused:
 		return jvfault.Newf("attempt", KindRefused, "the target answered %d and did not run it", reply.Status)
--- a/internal/jvrelay/fake_test.go
+++ b/internal/jvrelay/fake_test.go
@@ -24,11 +24,13 @@
 
 // script says what one attempt meets.
 type script struct {
-	err      Kind
-	status   int
-	body     string
-	refused  bool
-	unsigned bool
+	err     Kind
+	status  int
+	body    string
+	refused bool
+	// misplaced refuses as another target that has the address.
+	misplaced bool
+	unsigned  bool
 	// cut ends the body with an error in place of its end; hang never ends it.
 	cut  bool
 	hang bool
@@ -66,7 +68,7 @@
 	}
 	return &Reply{
 		Status: c.status, Header: http.Header{}, Body: io.NopCloser(&scriptBody{ctx: ctx, rest: c.body, script: c}),
-		Refused: c.refused, Signed: !c.unsigned,
+		Refused: c.refused || c.misplaced, Misplaced: c.misplaced, Signed: !c.unsigned,
 	}, nil
 }
 
--- a/internal/jvrelay/registry.go
+++ b/internal/jvrelay/registry.go
@@ -24,6 +24,9 @@
 	entries map[string]Entry
 	// missing are entries to be dropped at a time unless they come back.
 	missing map[string]time.Time
+	// displaced are targets at whose address another one answered; they are not used until their
+	// entries are written anew.
+	displaced map[string]bool
 	// settled is when the list can be trusted again.
 	settled time.Time
 	loaded  bool
@@ -37,6 +40,8 @@
 		settling: o.Settling,
 		entries:  map[string]Entry{},
 		missing:  map[string]time.Time{},
+
+		displaced: map[string]bool{},
 	}
 }
 
@@ -58,6 +63,7 @@
 			continue
 		}
 		delete(g.missing, id)
+		delete(g.displaced, id)
 		if old, ok := g.entries[id]; !ok || old != *e {
 			g.logger.Info("target", "target", id, "pool", e.Pool, "address", e.Target.Address, "leaving", e.Leaving, "new", !ok)
 		}
@@ -88,9 +94,23 @@
 		return
 	}
 	delete(g.entries, id)
+	delete(g.displaced, id)
 	g.logger.Info("target gone", "target", id, "why", why)
 }
 
+// displace notes that another target answered at a target's address: this one has ended, which
+// its entry may not tell for long while the log is away.
+func (g *Registry) displace(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, ok := g.entries[id]; !ok || g.displaced[id] {
+		return
+	}
+	g.displaced[id] = true
+	g.logger.Info("target displaced", "target", id, "address", g.entries[id].Target.Address)
+	g.publish()
+}
+
 // sweep drops the entries that did not come back in time.
 func (g *Registry) sweep() {
 	g.mu.Lock()
@@ -113,7 +133,10 @@
 // publish hands the targets to the choice; g.mu must be held.
 func (g *Registry) publish() {
 	pools := map[string][]jvconfig.Target{}
-	for _, e := range g.entries {
+	for id, e := range g.entries {
+		if g.displaced[id] {
+			continue
+		}
 		pools[e.Pool] = append(pools[e.Pool], e.Target)
 	}
 	entries := maps.Clone(g.entries)
--- a/internal/jvrelay/serve_test.go
+++ b/internal/jvrelay/serve_test.go
@@ -188,3 +188,34 @@
 		require.Equal(t, "stopping", why)
 	})
 }
+
+// TestDisplacedTargets answers a load pattern of crashes while the log is away: servers come
+// back under new names at their old addresses, and their old entries stay. Each is found by
+// one request, not by every one that is sent there.
+func TestDisplacedTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var scripts []script
+		for range 2 {
+			scripts = append(scripts, script{misplaced: true})
+		}
+		for range 30 {
+			scripts = append(scripts, script{status: 200, body: "answer"})
+		}
+		s := newStage(t, scripts...)
+		for range 30 {
+			require.Equal(t, "200 length 6: answer", s.serve(t.Context(), t, "once", nil))
+		}
+		require.Len(t, s.sender.sent, 32)
+		left := 0
+		for _, p := range s.relay.Dump().Pools {
+			left += len(p.Targets)
+		}
+		require.Equal(t, 1, left)
+		again := map[string]*Entry{}
+		for id, e := range s.relay.Registry().Entries() {
+			again[id] = &e
+		}
+		s.relay.Registry().Put(again, false)
+		require.Len(t, s.relay.Dump().Pools["p"].Targets, 3, "an entry that is written anew counts again")
+	})
+}
