--- a/internal/jvgrant/error.go
+++ b/internal/jvgrant/error.go
@@ -11,6 +11,9 @@
 	KindSpent Kind = "spent"
 	// KindShort means that this router holds too little and could not get more in time.
 	KindShort Kind = "short"
+	// KindEmpty means that nothing that could be spent is left with any router, though some of
+	// the budget may not have been spent: restarts count what they can't tell as spent.
+	KindEmpty Kind = "empty"
 	// KindUnready means that the router has not read yet what it held before.
 	KindUnready Kind = "unready"
 )
--- a/internal/jvgrant/reserve.go
+++ b/internal/jvgrant/reserve.go
@@ -28,6 +28,9 @@
 		case !first && k.spent(workspace, tokens):
 			return r, jvfault.Newf(op, KindSpent, "the prepaid budget has less left than the %d tokens that this request may use", tokens)
 		}
+		if k.empty(workspace, tokens) {
+			return r, jvfault.Newf(op, KindEmpty, "no router has the %d tokens needed left", tokens)
+		}
 		round := k.want(w)
 		select {
 		case <-round:
@@ -117,3 +120,11 @@
 	defer k.mu.Unlock()
 	return bound && prepaid-k.book.Totals(workspace, "").Used < tokens
 }
+
+// empty tells whether by what routers last said none of them could spare a request's tokens.
+func (k *Keeper) empty(workspace string, tokens int64) bool {
+	prepaid, bound := k.options.Prepaid(workspace)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return bound && prepaid-k.book.Totals(workspace, "").Taken < tokens
+}
--- a/internal/jvrelay/serve.go
+++ b/internal/jvrelay/serve.go
@@ -19,6 +19,8 @@
 	unreadyRetry = 500 * time.Millisecond
 	// budgetRetry is the time that routers take to give back what another one lacks.
 	budgetRetry = 300 * time.Millisecond
+	// emptyRetry is when a top-up may have come, at the earliest.
+	emptyRetry = time.Second
 	// targetRetry is the least pause before targets that took no work are tried again.
 	targetRetry = 200 * time.Millisecond
 )
@@ -103,8 +105,11 @@
 	f.reserved = r.options.Timer.Since(f.request.Arrived)
 	if err != nil {
 		f.cause = err.Error()
-		if jvfault.KindOf[jvgrant.Kind](err) == jvgrant.KindSpent {
+		switch jvfault.KindOf[jvgrant.Kind](err) {
+		case jvgrant.KindSpent:
 			return &Problem{Status: http.StatusPaymentRequired, Name: "budget", Message: err.Error()}
+		case jvgrant.KindEmpty:
+			return notRun("budget", err.Error(), emptyRetry)
 		}
 		return notRun("budget", err.Error(), budgetRetry)
 	}
--- a/internal/jvrelay/serve_test.go
+++ b/internal/jvrelay/serve_test.go
@@ -97,6 +97,7 @@
 		{"unknown key", "safe", func(_ *stage, q *Request) { q.Key = "stolen" }, "refused 401 unauthorized, come back after 0s"},
 		{"no key", "safe", func(_ *stage, q *Request) { q.Key = "" }, "refused 401 unauthorized, come back after 0s"},
 		{"too little here", "stream", func(s *stage, _ *Request) { s.budgets.left = 10 }, "refused 503 budget, come back after 300ms"},
+		{"nothing left anywhere", "stream", func(s *stage, _ *Request) { s.budgets.left = 10; s.budgets.kind = jvgrant.KindEmpty }, "refused 503 budget, come back after 1s"},
 		{"spent", "stream", func(s *stage, _ *Request) { s.budgets.left = 10; s.budgets.kind = jvgrant.KindSpent }, "refused 402 budget, come back after 0s"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
