--- a/internal/jvgrant/reserve.go
+++ b/internal/jvgrant/reserve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/jasminevale/jasminevale/internal/jvescrow"
 	"github.com/jasminevale/jasminevale/internal/jvfault"
@@ -23,8 +24,8 @@
 		case !k.Ready():
 			return r, jvfault.Newf(op, KindUnready, "budgets have not been read yet")
 		case !k.InTouch():
-			return r, jvfault.Newf(op, KindShort, "this router may spend %d of the %d tokens needed and the budgets' topic is away since %s: %v",
-				k.room(workspace), tokens, k.Contact().UTC(), err)
+			return r, jvfault.Newf(op, KindShort, "%d tokens needed, %d held, budgets away since %s: %v",
+				tokens, k.room(workspace), k.Contact().UTC().Format(time.RFC3339Nano), err)
 		case !first && k.spent(workspace, tokens):
 			return r, jvfault.Newf(op, KindSpent, "the prepaid budget has less left than the %d tokens that this request may use", tokens)
 		}
@@ -35,8 +36,8 @@
 		select {
 		case <-round:
 		case <-ctx.Done():
-			return r, jvfault.Newf(op, KindShort, "this router may spend %d of the %d tokens needed and got no more in time: %v",
-				k.room(workspace), tokens, err)
+			return r, jvfault.Newf(op, KindShort, "%d tokens needed, %d held, no more came in time: %v",
+				tokens, k.room(workspace), err)
 		}
 	}
 }
