--- a/internal/jvgrant/bound.go
+++ b/internal/jvgrant/bound.go
@@ -17,7 +17,7 @@
 // Most restarts take less than calm, and what a bound allows over a restart is lost: until
 // then it allows only a part of mean demand, beyond it all of that with room for growth.
 const (
-	calm      = 1750 * time.Millisecond
+	calm      = 1000 * time.Millisecond
 	calmShare = 1.0
 	growth    = 0.25
 )
--- a/internal/jvgrant/demand.go
+++ b/internal/jvgrant/demand.go
@@ -64,7 +64,7 @@
 const (
 	leastRoom = 1.5
 	mostRoom  = 5
-	roomTime  = 0.3
+	roomTime  = 0.8
 )
 
 func (d *demand) room(rate int64) int64 {
--- a/internal/jvgrant/keeper.go
+++ b/internal/jvgrant/keeper.go
@@ -29,6 +29,7 @@
 	demands  map[string]*demand
 	wants    map[*want]bool
 	stepped  time.Time
+	read     time.Time
 	takeover takeover
 	// born is when this process started.
 	born Moment
@@ -148,6 +149,9 @@
 	}
 	k.stepDemand()
 	stated := k.say(ctx)
+	if !k.readDue() {
+		return stated
+	}
 	_ = k.call(ctx, func(ctx context.Context) error { return k.statements.Poll(ctx, 0) }) // The follower reports it.
 	taken := k.settled() && k.trade(ctx)
 	if taken {
@@ -156,6 +160,19 @@
 	return stated || taken
 }
 
+// readDue tells whether this round reads what others stated: each Read, and whenever a request
+// waits, somebody's request waited or a takeover goes on.
+func (k *Keeper) readDue() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.options.Timer.Now()
+	due := len(k.wants) > 0 || k.closed || k.takeover.last != nil || now.Sub(k.read) >= k.options.Read
+	if due {
+		k.read = now
+	}
+	return due
+}
+
 // call bounds one use of a topic.
 func (k *Keeper) call(ctx context.Context, use func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, k.options.CallTimeout)
--- a/internal/jvgrant/options.go
+++ b/internal/jvgrant/options.go
@@ -27,9 +27,11 @@
 	Prepaid func(workspace string) (int64, bool)
 	// Workspaces lists all workspaces with a budget.
 	Workspaces func() []string
-	// Round is the pause between rounds, Report the most that statements lag behind spending.
+	// Round is the pause between rounds, Report the most that statements lag behind spending,
+	// Read the pause between reads of what others stated.
 	Round  time.Duration
 	Report time.Duration
+	Read   time.Duration
 	// CallTimeout bounds one call of a topic, Away is the silence after which it counts as away.
 	CallTimeout time.Duration
 	Away        time.Duration
@@ -40,8 +42,9 @@
 	return Options{
 		Logger:      logr.Discard(),
 		Policy:      DefaultPolicy(),
-		Round:       500 * time.Millisecond,
-		Report:      500 * time.Millisecond,
+		Round:       200 * time.Millisecond,
+		Report:      150 * time.Millisecond,
+		Read:        500 * time.Millisecond,
 		CallTimeout: 700 * time.Millisecond,
 		Away:        time.Second,
 	}
--- a/internal/jvgrant/takeover.go
+++ b/internal/jvgrant/takeover.go
@@ -33,7 +33,7 @@
 	takeoverTime = 5 * time.Second
 	// takeoverPace is how many times more often a router that took over makes rounds meanwhile:
 	// its statements tell the others the time.
-	takeoverPace = 4
+	takeoverPace = 2
 )
 
 // takingOver tells whether something may still be learned about an earlier start.
@@ -73,7 +73,8 @@
 		k.demands[w] = newDemand(r.Demand, r.Typical)
 		t.held[w] = h.Net()
 		t.charged[w] = bound
-		k.options.Logger.Info("budget taken over", "workspace", w, "net", h.Net(), "used", r.Used, "lost", k.lost[w], "silence", silence.String())
+		k.options.Logger.Info("budget taken over", "workspace", w, "net", h.Net(), "used", r.Used, "lost", k.lost[w],
+			"flight", r.Base-r.Used-r.Lost, "rate", r.Rate, "room", r.Size, "silence", silence.String())
 	}
 	if stated {
 		t.last = &last
