--- a/internal/jvrelay/flight.go
+++ b/internal/jvrelay/flight.go
@@ -58,15 +58,20 @@
 	return strconv.FormatInt(f.last, 10)
 }
 
-// used returns the tokens that the request counts with: its worst case unless it ended whole
-// or never ran.
+// unseenEvents is how many events a target may have sent beyond those passed on when an answer
+// broke off or its caller left: what lies in buffers at that moment.
+const unseenEvents = 2
+
+// used returns the tokens that the request counts with: its prompt once, however often it ran,
+// and the output that was delivered, in whole events.
 func (f *flight) used() int64 {
 	u := f.request.Usage
-	switch {
-	case f.runs == 0:
+	if f.runs == 0 {
 		return 0
-	case f.whole && f.runs == 1:
-		return u.Prompt + min(u.Output, f.events*f.eventTokens)
 	}
-	return u.Total()
+	events := f.events
+	if !f.whole {
+		events += unseenEvents
+	}
+	return u.Prompt + min(u.Output, events*f.eventTokens)
 }
--- a/internal/jvrelay/report.go
+++ b/internal/jvrelay/report.go
@@ -33,6 +33,7 @@
 		jvmeter.Observe(r.options.Meter.First, f.first.Sub(f.request.Arrived))
 	}
 	if f.reserved > 0 {
+		values = append(values, "used", f.used())
 		jvmeter.Observe(r.options.Meter.Reserve, f.reserved)
 		values = append(values, "reserved", f.reserved.Milliseconds())
 	}
