--- a/internal/jvtarget/load.go
+++ b/internal/jvtarget/load.go
@@ -1,6 +1,7 @@
 package jvtarget
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -56,12 +57,10 @@
 
 // estimate returns the number of requests that a target runs now: what it reported, plus what
 // this router has sent since the report was true, less what has ended since. It is never
-// below what this router knows to be under way. A report older than fade says nothing; a fade
-// of 0 keeps every report.
+// below what this router knows to be under way. What others have under way counts less as the
+// report grows old, and nothing at the age of fade; a fade of 0 keeps every report.
 func (t *traffic) estimate(l Load, fade time.Duration, now time.Time) int64 {
-	if fade > 0 && now.Sub(l.At) > fade {
-		return int64(len(t.starts))
-	}
+	own := int64(len(t.starts))
 	n := l.Busy
 	for _, s := range t.starts {
 		if s.After(l.At) {
@@ -73,5 +72,9 @@
 			n--
 		}
 	}
-	return max(n, int64(len(t.starts)))
+	others := max(n-own, 0)
+	if age := now.Sub(l.At); fade > 0 && age > 0 {
+		others = int64(math.Round(float64(others) * max(0, 1-float64(age)/float64(fade))))
+	}
+	return own + others
 }
--- a/internal/jvtarget/table.go
+++ b/internal/jvtarget/table.go
@@ -179,7 +179,7 @@
 		list = append(list, Candidate{
 			Name:  name,
 			Slots: g.config.Slots,
-			Busy:  g.traffic.estimate(g.load, t.weights.Fade, now),
+			Busy:  g.traffic.estimate(g.load, p.fade(t.weights.Fade), now),
 			Near:  g.config.Zone == t.zone,
 		})
 	}
@@ -249,6 +249,18 @@
 	p.wake(t)
 }
 
+// fadeServices is how many mean service times a report of others' requests says something for.
+const fadeServices = 3
+
+// fade returns the age at which a report says nothing more, at most the one given: requests
+// that take 60 ms have ended long before a second is over.
+func (p *pool) fade(most time.Duration) time.Duration {
+	if p.service == 0 {
+		return most
+	}
+	return min(most, time.Duration(fadeServices*p.service*float64(time.Second)))
+}
+
 // serviceWeight is the share of the newest request in the mean service time.
 const serviceWeight = 0.1
 
--- a/internal/jvtarget/table_test.go
+++ b/internal/jvtarget/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -105,3 +106,27 @@
 	table.Report("e", "e1", Load{At: timer.Now()})
 	require.True(t, usable())
 }
+
+// TestStaleLoadOfShortCalls answers a load pattern of a small pool of plain services: many
+// routers send each a few calls of 60 ms, so that a report is old when the next call comes. A
+// target that was full a fifth of a second ago is not taken for full.
+func TestStaleLoadOfShortCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		timer := jvtimer.NewService()
+		defer timer.Close()
+		table := NewWeighted("a", timer, func() float64 { return 0 }, Weights{Fade: time.Second})
+		table.SetPools(map[string][]jvconfig.Target{"desk": {{Name: "d", Zone: "a", Slots: 6}}}, func(string) bool { return false })
+		ask := Ask{Pool: "desk", Attempt: "1", Deadline: time.Now().Add(time.Minute)}
+		l, err := table.Acquire(t.Context(), ask)
+		require.NoError(t, err)
+		time.Sleep(60 * time.Millisecond)
+		table.Report("desk", "d", Load{Busy: 6, At: time.Now()})
+		l.Release(EndingWorked)
+		began := time.Now()
+		ask.Attempt = "2"
+		l, err = table.Acquire(t.Context(), ask)
+		require.NoError(t, err)
+		require.LessOrEqual(t, time.Since(began), 180*time.Millisecond)
+		l.Release(EndingWorked)
+	})
+}
