--- a/internal/jvgrant/policy.go
+++ b/internal/jvgrant/policy.go
@@ -16,10 +16,12 @@
 	// Prior is the share that they hold before any demand is known.
 	Prior float64
 	// Low, Fill and High are the shares of the target below which a router takes more, up to
-	// which it takes, and above which it gives back.
-	Low  float64
-	Fill float64
-	High float64
+	// which it takes, and above which it gives back. TopUp is the share below which it takes more
+	// while it writes anyhow: many routers meet at the topic's end, so each should write rarely.
+	Low   float64
+	TopUp float64
+	Fill  float64
+	High  float64
 }
 
 // DefaultPolicy returns the policy of this release.
@@ -30,6 +32,7 @@
 		Ahead:    0.9,
 		Prior:    0.5,
 		Low:      0.8,
+		TopUp:    1.1,
 		Fill:     1.2,
 		High:     1.6,
 	}
@@ -83,16 +86,16 @@
 	if free <= 0 {
 		return 0
 	}
-	return p.take(s, free)
+	return p.take(s, free, p.TopUp)
 }
 
-// Wishes tells whether a router would take something if there were enough.
-func (p Policy) Wishes(s Situation) bool { return p.take(s, math.MaxInt64/2) > 0 }
+// Wishes tells whether a router would write to take something if there were enough.
+func (p Policy) Wishes(s Situation) bool { return p.take(s, math.MaxInt64/2, p.Low) > 0 }
 
-func (p Policy) take(s Situation, free int64) int64 {
+func (p Policy) take(s Situation, free int64, low float64) int64 {
 	target := p.Target(s)
 	take := int64(0)
-	if float64(s.Available) < p.Low*float64(target) {
+	if float64(s.Available) < low*float64(target) {
 		take = min(int64(p.Fill*float64(target))-s.Available, free)
 	}
 	if need := s.Want - s.Available; need > take {
--- a/internal/jvgrant/reserve.go
+++ b/internal/jvgrant/reserve.go
@@ -15,7 +15,7 @@
 	k.ask(workspace, tokens)
 	w := &want{workspace: workspace, tokens: tokens}
 	defer k.drop(w)
-	for first := true; ; first = false {
+	for {
 		r, err := k.take(workspace, tokens)
 		if err == nil {
 			return r, nil
@@ -26,7 +26,7 @@
 		case !k.InTouch():
 			return r, jvfault.Newf(op, KindShort, "%d tokens needed, %d held, budgets away since %s: %v",
 				tokens, k.room(workspace), k.Contact().UTC().Format(time.RFC3339Nano), err)
-		case !first && k.spent(workspace, tokens):
+		case k.spent(workspace, tokens):
 			return r, jvfault.Newf(op, KindSpent, "the prepaid budget has less left than the %d tokens that this request may use", tokens)
 		}
 		if k.empty(workspace, tokens) {
