--- a/internal/jvgrant/history_test.go
+++ b/internal/jvgrant/history_test.go
@@ -63,6 +63,8 @@
 	nodes      []*node
 	prepaid    int64
 	seed       uint64
+	// none is true while the configuration has no workspaces.
+	none bool
 }
 
 // play returns what went wrong, or "".
@@ -132,8 +134,14 @@
 	options.Moment = func() Moment {
 		return Moment{Boot: fmt.Sprint(o.name, o.boot), Uptime: time.Since(o.booted), Clock: time.Now().Add(o.shift)}
 	}
+	options.Known = func() bool { return true }
 	options.Prepaid = func(string) (int64, bool) { return h.prepaid, true }
-	options.Workspaces = func() []string { return []string{workspaceW} }
+	options.Workspaces = func() []string {
+		if h.none {
+			return nil
+		}
+		return []string{workspaceW}
+	}
 	o.keeper = NewKeeper(options)
 	o.open = nil
 	h.round(o)
@@ -325,3 +333,18 @@
 		})
 	}
 }
+
+// TestNoBudgets: a fleet without workspaces is ready, and a budget that is added later works.
+func TestNoBudgets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := &history{grants: newMemoryTopic(), statements: newMemoryTopic(), prepaid: prepaidPlayed}
+		o := &node{name: "r", booted: time.Now(), grants: &line{topic: h.grants, fate: fateDone}, statements: &line{topic: h.statements, fate: fateDone}}
+		h.nodes = []*node{o}
+		h.none = true
+		h.start(o)
+		require.True(t, o.keeper.Ready())
+		h.none = false
+		h.reserve(o, 100)
+		require.EqualValues(t, 100, o.used)
+	})
+}
--- /dev/null
+++ b/internal/jvgrant/rounds.go
@@ -0,0 +1,133 @@
+package jvgrant
+
+import (
+	"context"
+	"time"
+)
+
+// Run makes rounds until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	idle := 0 // Rounds in a row that requests asked for and that changed nothing.
+	for ctx.Err() == nil {
+		changed := k.makeRound(ctx)
+		select {
+		case <-ctx.Done():
+		case <-k.wake:
+			if changed {
+				idle = 0
+			}
+			k.rest(ctx, idle)
+			idle++
+		case <-k.options.Timer.After(k.pause()):
+			idle = 0
+		}
+	}
+}
+
+// Pauses between two rounds that requests ask for; they grow while rounds change nothing.
+const (
+	leastPause = 10 * time.Millisecond
+	mostPause  = 160 * time.Millisecond
+)
+
+func (k *Keeper) rest(ctx context.Context, idle int) {
+	if idle == 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-k.options.Timer.After(min(leastPause<<min(idle, 8), mostPause)):
+	}
+}
+
+// pause spreads the rounds of routers that started together.
+func (k *Keeper) pause() time.Duration {
+	round := k.options.Round
+	if k.takingOver() {
+		round /= takeoverPace
+	}
+	return time.Duration(float64(round) * (0.75 + 0.5*k.options.Random()))
+}
+
+// makeRound reads what others wrote and writes what changes here. It returns whether anything
+// was written.
+func (k *Keeper) makeRound(ctx context.Context) bool {
+	defer k.endRound()
+	if !k.ready() {
+		return k.begin(ctx)
+	}
+	k.stepDemand()
+	stated := k.say(ctx)
+	if !k.readDue() {
+		return stated
+	}
+	_ = k.call(ctx, func(ctx context.Context) error { return k.statements.Poll(ctx, 0) }) // The follower reports it.
+	taken := k.settled() && k.trade(ctx)
+	if taken {
+		stated = k.say(ctx) || stated
+	}
+	return stated || taken
+}
+
+// readDue tells whether this round reads what others stated: each Read, and whenever a request
+// waits or a takeover goes on.
+func (k *Keeper) readDue() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.options.Timer.Now()
+	due := len(k.wants) > 0 || k.closed || k.takeover.last != nil || now.Sub(k.read) >= k.options.Read
+	if due {
+		k.read = now
+	}
+	return due
+}
+
+// call bounds one use of a topic.
+func (k *Keeper) call(ctx context.Context, use func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, k.options.CallTimeout)
+	defer cancel()
+	return use(ctx)
+}
+
+// settled tells whether the other routers have had the time to say that they are there; a
+// router that takes before takes too much.
+func (k *Keeper) settled() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.wants) > 0 || k.closed || k.options.Moment().Uptime-k.born.Uptime > settleTime
+}
+
+// settleTime is a few rounds of every router.
+const settleTime = 1500 * time.Millisecond
+
+// say makes a statement where one is due.
+func (k *Keeper) say(ctx context.Context) bool {
+	k.mu.Lock()
+	before := k.speaker.sequence
+	k.mu.Unlock()
+	_ = k.call(ctx, k.speak) // It has been logged; the next round tries again.
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.speaker.sequence != before
+}
+
+// stepDemand moves the means of demand on by the time since the last round.
+func (k *Keeper) stepDemand() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.options.Timer.Now()
+	if !k.stepped.IsZero() {
+		for _, d := range k.demands {
+			d.step(now.Sub(k.stepped))
+		}
+	}
+	k.stepped = now
+}
+
+// endRound wakes the requests that wait for it.
+func (k *Keeper) endRound() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	close(k.round)
+	k.round = make(chan struct{})
+}
