--- a/internal/jvrelay/attempt.go
+++ b/internal/jvrelay/attempt.go
@@ -14,8 +14,14 @@
 
 // attempt sends the request to one target and passes its answer on.
 func (r *Relay) attempt(ctx context.Context, f *flight, lease jvtarget.Lease) (err error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stall := r.watch(f, func() {
+		if r.retry(f.pool).Spend() { // Without another attempt the target's silence changes nothing.
+			cancel(errStalled)
+		}
+	})
+	defer stall.stop()
 	defer func() {
 		r.options.Meter.Attempt(f.pool, string(jvfault.KindOf[Kind](err)))
 		lease.Release(endingOf(err))
@@ -48,7 +54,7 @@
 		f.paid = true
 		return jvfault.Newf("attempt", KindFailed, "the target answered %d", reply.Status)
 	case f.route.Kind == jvroute.KindStream && reply.Status == http.StatusOK:
-		return r.gone(ctx, r.stream(f, reply))
+		return r.gone(ctx, r.stream(f, reply, stall))
 	}
 	return r.gone(ctx, r.answer(f, reply))
 }
@@ -59,8 +65,11 @@
 	return f.route.Repeatable() && f.runs+1 < f.route.Attempts && r.retry(f.pool).Spend()
 }
 
-// gone turns a failure into KindGone where the caller has left.
+// gone turns a failure into KindGone where the caller has left, and names a stall as its cause.
 func (r *Relay) gone(ctx context.Context, err error) error {
+	if err != nil && errors.Is(context.Cause(ctx), errStalled) {
+		return jvfault.New("attempt", KindBroken, errStalled)
+	}
 	if err != nil && errors.Is(context.Cause(ctx), context.Canceled) {
 		return jvfault.New("attempt", KindGone, err)
 	}
@@ -116,7 +125,7 @@
 
 // stream passes on whole events as they come. Headers go out with the first event, so that
 // until then another target can still answer in this one's place.
-func (r *Relay) stream(f *flight, reply *Reply) error {
+func (r *Relay) stream(f *flight, reply *Reply, stall watch) error {
 	const op = "read stream"
 	events := newEvents(reply.Body)
 	for {
@@ -133,6 +142,7 @@
 		if e.id >= 0 && f.last >= 0 && e.id != f.last+1 {
 			return jvfault.Newf(op, KindCrossed, "event %d came after event %d", e.id, f.last)
 		}
+		stall.reset()
 		if err := r.pass(f, reply, e); err != nil {
 			return err
 		}
--- a/internal/jvrelay/serve.go
+++ b/internal/jvrelay/serve.go
@@ -196,7 +196,7 @@
 		return notRun("overloaded", "no target took the request: "+err.Error(), targetRetry), true
 	case !f.route.Repeatable() || f.runs >= f.route.Attempts:
 		return mayHaveRun(err.Error()), true
-	case f.paid:
+	case f.paid, errors.Is(err, errStalled):
 		f.paid = false
 		return nil, false
 	case r.retry(f.pool).Spend():
