--- a/internal/jvlog/bounded.go
+++ b/internal/jvlog/bounded.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"sync"
 	"sync/atomic"
 )
 
@@ -13,6 +14,10 @@
 	lines   chan []byte
 	dropped atomic.Int64
 	done    chan struct{}
+
+	// mu lets lines come while others do, and none once closed is set.
+	mu     sync.RWMutex
+	closed bool
 }
 
 // NewBounded returns a writer that holds up to a number of lines.
@@ -53,6 +58,11 @@
 
 // Write takes one line and never blocks.
 func (b *Bounded) Write(p []byte) (int, error) {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	if b.closed {
+		return len(p), nil
+	}
 	select {
 	case b.lines <- bytes.Clone(p):
 	default:
@@ -61,8 +71,14 @@
 	return len(p), nil
 }
 
-// Close passes on what is held; no line may come after it.
+// Close passes on what is held; lines that come after it are dropped.
 func (b *Bounded) Close() {
-	close(b.lines)
+	b.mu.Lock()
+	closed := b.closed
+	b.closed = true
+	b.mu.Unlock()
+	if !closed {
+		close(b.lines)
+	}
 	<-b.done
 }
