Log a request's digest and a server's start time

Lines of requests and of failed attempts now have the digest, which all copies share, and failed attempts how long the target had them; a target's line has the start time of its process. No decision changes.

--- a/internal/jvrelay/active.go
+++ b/internal/jvrelay/active.go
@@ -1,6 +1,7 @@
 package jvrelay
 
 import (
+	"encoding/hex"
 	"strconv"
 	"time"
 
@@ -27,6 +28,8 @@
 	attempts     int
 	possibleRuns int
 	notRun       int
+	// attemptStartedAt is when the latest attempt started.
+	attemptStartedAt time.Time
 	// avoid are the names of the targets on which attempts failed.
 	avoid []string
 	// target is the name of the latest attempt's target.
@@ -64,6 +67,10 @@
 	return strconv.FormatInt(a.lastEventID, 10)
 }
 
+// shortDigest returns the beginning of the request's digest in hex, by which log lines of the copies
+// of a request are found.
+func (a *activeRequest) shortDigest() string { return hex.EncodeToString(a.digest[:min(len(a.digest), 8)]) }
+
 // unseenEvents is the number of events that a target may have sent and the router did not
 // forward when a response breaks off or its caller disconnects: they are still in buffers.
 const unseenEvents = 2
--- a/internal/jvrelay/registry.go
+++ b/internal/jvrelay/registry.go
@@ -65,7 +65,7 @@
 		delete(g.missing, id)
 		delete(g.displaced, id)
 		if old, ok := g.entries[id]; !ok || old != *e {
-			g.logger.Info("target", "target", id, "pool", e.Pool, "address", e.Target.Address, "leaving", e.Leaving, "new", !ok)
+			g.logger.Info("target", "target", id, "pool", e.Pool, "address", e.Target.Address, "leaving", e.Leaving, "new", !ok, "born", e.StartedAtMillis)
 		}
 		g.entries[id] = *e
 	}
--- a/internal/jvrelay/report.go
+++ b/internal/jvrelay/report.go
@@ -37,6 +37,9 @@
 		jvmeter.Observe(r.options.Meter.ReserveWait, a.reserveWait)
 		values = append(values, "reserved", a.reserveWait.Milliseconds())
 	}
+	if a.attempts > 0 {
+		values = append(values, "digest", a.shortDigest())
+	}
 	if a.cause != "" {
 		values = append(values, "cause", a.cause)
 	}
--- a/internal/jvrelay/serve.go
+++ b/internal/jvrelay/serve.go
@@ -131,6 +131,7 @@
 			return r.noTargetProblem(a, err)
 		}
 		a.attempts++
+		a.attemptStartedAt = r.options.Timer.Now()
 		a.target = lease.Target.Name
 		err = r.attempt(ctx, a, lease)
 		if err == nil {
@@ -178,7 +179,8 @@
 func (r *Relay) afterFailure(ctx context.Context, a *activeRequest, lease jvtarget.Lease, err error) (*Problem, bool) {
 	kind := jvfault.KindOf[Kind](err)
 	r.options.Logger.Info("attempt failed", "request", a.request.ID, "target", lease.Target.Name, "try", a.attempts,
-		"kind", kind, "cause", err.Error(), "why", lease.Reason, "events", a.eventsForwarded)
+		"digest", a.shortDigest(), "kind", kind, "cause", err.Error(), "why", lease.Reason, "events", a.eventsForwarded,
+		"attemptms", r.options.Timer.Since(a.attemptStartedAt).Milliseconds())
 	a.avoid = append(a.avoid, lease.Target.Name)
 	switch kind {
 	case KindCallerDisconnected:
