Stop requests that crash servers on all routers

Cause: the router of the outside platform judged each copy of a request alone, and forgot with it what it had done to its targets.

The fix: an attempt during which its target's process ended is recorded in a keyed topic of the store that all routers follow (jvquarantine); from three such crashes on every router refuses the request with the time after which to return. A lost connection alone is no crash. Requests that were merely running there are not blamed: a crash counts half if part of the response had arrived, crashes that another request accounts for don't count, a complete response clears the request everywhere, and suspects are spread over targets.

--- a/internal/jvkeyed/topic.go
+++ b/internal/jvkeyed/topic.go
@@ -35,7 +35,8 @@
 	AppendAt(ctx context.Context, at uint64, records []Record) (uint64, error)
 	// Append appends records, all or none, as a producer's next append, and returns the topic's new
 	// end. KindRepeated means that the producer's append with this sequence number was done before;
-	// KindFenced means that the topic has seen a higher epoch of the producer.
+	// KindFenced means that the topic has seen a higher epoch of the producer. A producer without a
+	// name appends without a number, so that a call in doubt may be done once more.
 	Append(ctx context.Context, p Producer, records []Record) (uint64, error)
 }
 
--- a/internal/jvmeter/relay.go
+++ b/internal/jvmeter/relay.go
@@ -38,6 +38,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("jv_relay_attempts_total{pool=%q,failure=%q}", pool, kind)).Inc()
 }
 
+// CountCrash counts an attempt during which its target ended, by pool and by what shows it.
+func (m *Relay) CountCrash(pool, evidence string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("jv_relay_crashes_total{pool=%q,evidence=%q}", pool, evidence)).Inc()
+}
+
 // Gauge registers a gauge that is read when the metrics are written; name may include labels.
 func (m *Relay) Gauge(name string, read func() float64) { m.set.GetOrCreateGauge(name, read) }
 
--- a/internal/jvrelay/active.go
+++ b/internal/jvrelay/active.go
@@ -1,10 +1,10 @@
 package jvrelay
 
 import (
-	"encoding/hex"
 	"strconv"
 	"time"
 
+	"github.com/jasminevale/jasminevale/internal/jvquarantine"
 	"github.com/jasminevale/jasminevale/internal/jvroute"
 )
 
@@ -18,7 +18,8 @@
 	// priority is 0 for the most urgent requests.
 	priority int
 	pool     string
-	digest   []byte
+	// digest is set by setDigest.
+	digest jvquarantine.Digest
 	// maxEventTokens is the maximum number of tokens in one event of the response.
 	maxEventTokens int64
 	deadline       time.Time
@@ -28,8 +29,12 @@
 	attempts     int
 	possibleRuns int
 	notRun       int
-	// attemptStartedAt is when the latest attempt started.
+	// attemptStartedAt is when the latest attempt started, progress whether its target has sent part
+	// of the response.
 	attemptStartedAt time.Time
+	progress         bool
+	// targetStartedAt is the start of the latest target's process in Unix milliseconds, or 0.
+	targetStartedAt int64
 	// avoid are the names of the targets on which attempts failed.
 	avoid []string
 	// target is the name of the latest attempt's target.
@@ -59,6 +64,15 @@
 	return a
 }
 
+// startAttempt records the beginning of an attempt.
+func (a *activeRequest) startAttempt(now time.Time, target string, targetStartedAt int64) {
+	a.attempts++
+	a.attemptStartedAt = now
+	a.progress = false
+	a.target = target
+	a.targetStartedAt = targetStartedAt
+}
+
 // resumeAfter returns the ID of the event after which the next attempt resumes the stream.
 func (a *activeRequest) resumeAfter() string {
 	if a.lastEventID < 0 {
@@ -67,9 +81,12 @@
 	return strconv.FormatInt(a.lastEventID, 10)
 }
 
-// shortDigest returns the beginning of the request's digest in hex, by which log lines of the copies
-// of a request are found.
-func (a *activeRequest) shortDigest() string { return hex.EncodeToString(a.digest[:min(len(a.digest), 8)]) }
+// setDigest computes the request's digest, once its workspace is known.
+func (a *activeRequest) setDigest() {
+	if a.digest == (jvquarantine.Digest{}) {
+		a.digest = jvquarantine.DigestOf(a.request.digest(a.workspace))
+	}
+}
 
 // unseenEvents is the number of events that a target may have sent and the router did not
 // forward when a response breaks off or its caller disconnects: they are still in buffers.
--- a/internal/jvrelay/attempt.go
+++ b/internal/jvrelay/attempt.go
@@ -93,6 +93,7 @@
 func (r *Relay) forwardResponse(a *activeRequest, response *Response) error {
 	const op = "read response"
 	buffered, err := io.ReadAll(io.LimitReader(response.Body, r.options.MaxBufferedBytes))
+	a.progress = len(buffered) > 0
 	if err != nil {
 		return jvfault.New(op, KindBroken, err)
 	}
@@ -159,6 +160,7 @@
 }
 
 func (r *Relay) forwardEvent(a *activeRequest, response *Response, e event) error {
+	a.progress = true
 	if !a.headersSent {
 		a.headersSent = true
 		a.status = response.Status
--- a/internal/jvrelay/dump.go
+++ b/internal/jvrelay/dump.go
@@ -18,9 +18,11 @@
 	Active int64                        `json:"active"`
 	Pools  map[string]jvtarget.PoolView `json:"pools"`
 	// Retries is the number of retries left, by pool.
-	Retries  map[string]float64 `json:"retries"`
-	Budgets  any                `json:"budgets"`
-	Settings any                `json:"settings"`
+	Retries map[string]float64 `json:"retries"`
+	Budgets any                `json:"budgets"`
+	// Quarantine are the requests that were running when targets ended.
+	Quarantine any `json:"quarantine"`
+	Settings   any `json:"settings"`
 }
 
 // Dump returns the relay's state.
--- a/internal/jvrelay/fake_test.go
+++ b/internal/jvrelay/fake_test.go
@@ -18,6 +18,7 @@
 	"github.com/jasminevale/jasminevale/internal/jvescrow"
 	"github.com/jasminevale/jasminevale/internal/jvfault"
 	"github.com/jasminevale/jasminevale/internal/jvgrant"
+	"github.com/jasminevale/jasminevale/internal/jvquarantine"
 	"github.com/jasminevale/jasminevale/internal/jvroute"
 	"github.com/jasminevale/jasminevale/internal/jvtimer"
 )
@@ -34,6 +35,8 @@
 	// cut ends the body with an error; hang never ends it.
 	cut  bool
 	hang bool
+	// ended makes the target refuse connections afterwards.
+	ended bool
 	// delay is how long the target takes to respond.
 	delay time.Duration
 }
@@ -42,14 +45,21 @@
 type scriptSender struct {
 	scripts []script
 	sent    []string
+	// ended is that of the latest script, target the name of the latest attempt's target.
+	ended  bool
+	target string
 }
 
+func (s *scriptSender) RefusesConnections(context.Context, jvconfig.Target) bool { return s.ended }
+
 func (s *scriptSender) Send(ctx context.Context, d Dispatch) (*Response, error) {
 	if len(s.scripts) == 0 {
 		return nil, jvfault.Newf("send", KindUnsent, "no script is left")
 	}
 	c := s.scripts[0]
 	s.scripts = s.scripts[1:]
+	s.ended = c.ended
+	s.target = d.Target.Name
 	line := "sent"
 	if d.LastEventID != "" {
 		line += " after event " + d.LastEventID
@@ -133,6 +143,17 @@
 
 func (b *budgetFake) Ready() bool { return b.ready }
 
+// localQuarantine is a quarantine without other routers.
+type localQuarantine struct{ *jvquarantine.Quarantine }
+
+func (localQuarantine) Loaded() bool { return true }
+
+func newLocalQuarantine(timer *jvtimer.Service) localQuarantine {
+	o := jvquarantine.DefaultOptions()
+	o.Timer = timer
+	return localQuarantine{jvquarantine.New(o)}
+}
+
 // fixture is a relay with three targets.
 type fixture struct {
 	relay   *Relay
@@ -151,6 +172,7 @@
 	o.Logger = logr.Discard()
 	o.Sender = s.sender
 	o.Budgets = s.budgets
+	o.Quarantine = newLocalQuarantine(timer)
 	s.relay = NewRelay(o)
 	s.relay.Configure(table(1))
 	entries := map[string]*Entry{}
@@ -162,12 +184,17 @@
 	return s
 }
 
-func table(version uint64) *jvroute.Table {
+func table(version uint64) *jvroute.Table { return newTable(version, false) }
+
+// cachedTable returns a configuration whose targets cache prefixes.
+func cachedTable(version uint64) *jvroute.Table { return newTable(version, true) }
+
+func newTable(version uint64, cached bool) *jvroute.Table {
 	pools := []jvroute.WeightedPool{{Pool: "p", Weight: 1}}
 	route := func(name string, kind jvroute.Kind, attempts int, resumable bool) jvroute.Route {
 		return jvroute.Route{
 			Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, Timeout: 2 * time.Second,
-			TargetLatency: 300 * time.Millisecond, MaxAttempts: attempts, Pools: pools, Resumable: resumable,
+			TargetLatency: 300 * time.Millisecond, MaxAttempts: attempts, Pools: pools, Resumable: resumable, CachedPrefixes: cached,
 		}
 	}
 	return jvroute.NewTable(version, jvroute.Limits{}).
--- a/internal/jvrelay/options.go
+++ b/internal/jvrelay/options.go
@@ -9,6 +9,7 @@
 	"github.com/jasminevale/jasminevale/internal/jvchance"
 	"github.com/jasminevale/jasminevale/internal/jvescrow"
 	"github.com/jasminevale/jasminevale/internal/jvmeter"
+	"github.com/jasminevale/jasminevale/internal/jvquarantine"
 	"github.com/jasminevale/jasminevale/internal/jvtarget"
 	"github.com/jasminevale/jasminevale/internal/jvtimer"
 )
@@ -23,6 +24,24 @@
 	Ready() bool
 }
 
+// Quarantine recognizes requests that crash targets, for all routers.
+type Quarantine interface {
+	// Loaded reports whether this router knows what other routers have reported.
+	Loaded() bool
+	// Empty reports whether no request is suspected.
+	Empty() bool
+	// Suspected reports whether a request was running in a crash.
+	Suspected(d jvquarantine.Digest) bool
+	// Admit reports whether a copy of a request may be sent to targets, Check whether one that was
+	// admitted still may.
+	Admit(d jvquarantine.Digest) (jvquarantine.Refusal, bool)
+	Check(d jvquarantine.Digest) (jvquarantine.Refusal, bool)
+	// ReportCrash records that a target ended during an attempt.
+	ReportCrash(d jvquarantine.Digest, c jvquarantine.Crash)
+	// ReportCompletion records that a target ran the request to its end.
+	ReportCompletion(d jvquarantine.Digest)
+}
+
 // Options configure a Relay.
 type Options struct {
 	// Zone is the router's availability zone.
@@ -32,6 +51,8 @@
 	Logger  logr.Logger
 	Sender  Sender
 	Budgets Budgets
+	// Quarantine holds the requests that crash targets.
+	Quarantine Quarantine
 	// Congested reports whether this machine's network link is so busy that callers are
 	// better served by another machine.
 	Congested func() bool
--- a/internal/jvrelay/problem.go
+++ b/internal/jvrelay/problem.go
@@ -1,8 +1,11 @@
 package jvrelay
 
 import (
+	"fmt"
 	"net/http"
 	"time"
+
+	"github.com/jasminevale/jasminevale/internal/jvquarantine"
 )
 
 // Problem is an error response of the router itself.
@@ -24,6 +27,21 @@
 	return &Problem{Status: http.StatusBadGateway, Name: "failed", Message: message}
 }
 
+// quarantined returns the problem of a request that crashes targets. The copy did not run unless an
+// attempt of its own may have.
+func quarantined(a *activeRequest, refusal jvquarantine.Refusal) *Problem {
+	message := fmt.Sprintf("%d targets ended while they ran this request", refusal.Crashes)
+	if a.cause != "" {
+		message += "; the last attempt: " + a.cause
+	}
+	a.cause = message
+	p := notRun("quarantined", message, refusal.RetryAfter)
+	if a.possibleRuns > 0 {
+		p.Status = http.StatusBadGateway
+	}
+	return p
+}
+
 // expired returns the problem of a request that may have run and whose deadline has passed.
 func expired(message string) *Problem {
 	return &Problem{Status: http.StatusGatewayTimeout, Name: "deadline", Message: message}
--- a/internal/jvrelay/registry.go
+++ b/internal/jvrelay/registry.go
@@ -18,6 +18,7 @@
 	timer          *jvtimer.Service
 	logger         logr.Logger
 	targets        *jvtarget.Table
+	crashes        *crashDetector
 	reconnectGrace time.Duration
 
 	mu      sync.Mutex
@@ -33,11 +34,12 @@
 	loaded   bool
 }
 
-func newRegistry(o Options, targets *jvtarget.Table) *Registry {
+func newRegistry(o Options, targets *jvtarget.Table, crashes *crashDetector) *Registry {
 	return &Registry{
 		timer:          o.Timer,
 		logger:         o.Logger,
 		targets:        targets,
+		crashes:        crashes,
 		reconnectGrace: o.ReconnectGrace,
 		entries:        map[string]Entry{},
 		missing:        map[string]time.Time{},
@@ -64,7 +66,14 @@
 		}
 		delete(g.missing, id)
 		delete(g.displaced, id)
-		if old, ok := g.entries[id]; !ok || old != *e {
+		old, ok := g.entries[id]
+		if ok && old.StartedAtMillis != e.StartedAtMillis {
+			g.crashes.targetEnded(id, evidenceRestarted)
+		}
+		if !ok {
+			g.replaceAddress(id, *e)
+		}
+		if !ok || old != *e {
 			g.logger.Info("target", "target", id, "pool", e.Pool, "address", e.Target.Address, "leaving", e.Leaving, "new", !ok, "born", e.StartedAtMillis)
 		}
 		g.entries[id] = *e
@@ -80,6 +89,16 @@
 	g.updateTargets()
 }
 
+// replaceAddress records that the targets which had a new target's address before it have ended. g.mu
+// must be held.
+func (g *Registry) replaceAddress(id string, e Entry) {
+	for other, o := range g.entries {
+		if other != id && o.Target.Address == e.Target.Address {
+			g.crashes.targetEnded(other, evidenceReplaced)
+		}
+	}
+}
+
 // remove removes an entry, or marks it as missing during the grace period; g.mu must be held.
 func (g *Registry) remove(id, reason string) {
 	if _, ok := g.entries[id]; !ok {
@@ -107,6 +126,7 @@
 		return
 	}
 	g.displaced[id] = true
+	g.crashes.targetEnded(id, evidenceReplaced)
 	g.logger.Info("target displaced", "target", id, "address", g.entries[id].Target.Address)
 	g.updateTargets()
 }
@@ -143,6 +163,13 @@
 	g.targets.SetPools(pools, func(name string) bool { return entries[name].Leaving })
 }
 
+// startedAt returns the start of a target's process by its entry, or 0 if it isn't known.
+func (g *Registry) startedAt(id string) int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.entries[id].StartedAtMillis
+}
+
 // Loaded reports whether the list of targets has been read.
 func (g *Registry) Loaded() bool {
 	g.mu.Lock()
--- a/internal/jvrelay/relay.go
+++ b/internal/jvrelay/relay.go
@@ -17,6 +17,7 @@
 	table    atomic.Pointer[jvroute.Table]
 	targets  *jvtarget.Table
 	registry *Registry
+	crashes  *crashDetector
 	active   atomic.Int64
 	stopping atomic.Bool
 
@@ -31,8 +32,12 @@
 func NewRelay(o Options) *Relay {
 	r := &Relay{options: o, retries: map[string]*jvretry.Budget{}}
 	r.targets = jvtarget.NewTableWithWeights(o.Zone, o.Timer, o.Random.Float, o.Weights)
-	r.registry = newRegistry(o, r.targets)
-	o.Timer.Every(expireInterval, r.registry.expireMissing)
+	r.crashes = newCrashDetector(o)
+	r.registry = newRegistry(o, r.targets, r.crashes)
+	o.Timer.Every(expireInterval, func() {
+		r.registry.expireMissing()
+		r.crashes.expire()
+	})
 	return r
 }
 
@@ -89,6 +94,8 @@
 		return false, "no list of targets yet"
 	case !r.options.Budgets.Ready():
 		return false, "budgets not read yet"
+	case !r.options.Quarantine.Loaded():
+		return false, "crashes not read yet"
 	case r.LinkCongested():
 		return false, "link crowded"
 	}
--- a/internal/jvrelay/report.go
+++ b/internal/jvrelay/report.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/jasminevale/jasminevale/internal/jvmeter"
+	"github.com/jasminevale/jasminevale/internal/jvquarantine"
 )
 
 // report writes the request's log line and records its metrics.
@@ -37,8 +38,8 @@
 		jvmeter.Observe(r.options.Meter.ReserveWait, a.reserveWait)
 		values = append(values, "reserved", a.reserveWait.Milliseconds())
 	}
-	if a.attempts > 0 {
-		values = append(values, "digest", a.shortDigest())
+	if a.digest != (jvquarantine.Digest{}) {
+		values = append(values, "digest", a.digest.String())
 	}
 	if a.cause != "" {
 		values = append(values, "cause", a.cause)
--- a/internal/jvrelay/request.go
+++ b/internal/jvrelay/request.go
@@ -47,10 +47,16 @@
 	LastEventID string
 }
 
-// digest returns a hash that is the same for all copies of a request, whatever their IDs.
-func (q *Request) digest() []byte {
+// digest returns a hash that is the same for all copies of a request, whatever their IDs. The caller is
+// identified by its workspace, whose keys may change between two copies, and by its key if it has no
+// workspace.
+func (q *Request) digest(workspace string) []byte {
+	key := q.Key
+	if workspace != "" {
+		key = ""
+	}
 	h := sha256.New()
-	for _, s := range []string{q.Method, q.Host, q.URI, q.Key} {
+	for _, s := range []string{q.Method, q.Host, q.URI, workspace, key} {
 		_, _ = h.Write([]byte(s))
 		_, _ = h.Write([]byte{0})
 	}
--- a/internal/jvrelay/sender.go
+++ b/internal/jvrelay/sender.go
@@ -46,6 +46,9 @@
 	// Send returns once the target's status has arrived. Errors are KindUnsent if no byte
 	// reached the target, else KindBroken.
 	Send(ctx context.Context, d Dispatch) (*Response, error)
+	// RefusesConnections reports whether a target's machine refuses new connections, which shows that
+	// the target's process has ended.
+	RefusesConnections(ctx context.Context, t jvconfig.Target) bool
 }
 
 // Caller receives the response to a request.
--- a/internal/jvrelay/serve.go
+++ b/internal/jvrelay/serve.go
@@ -31,6 +31,9 @@
 	defer r.active.Add(-1)
 	a := newActiveRequest(q, c)
 	p := r.handle(ctx, a)
+	if a.complete && a.status < http.StatusInternalServerError {
+		r.crashes.requestCompleted(a.digest)
+	}
 	switch {
 	case p != nil && a.headersSent:
 		c.Abort()
@@ -47,6 +50,12 @@
 	if p := r.admit(a); p != nil {
 		return p
 	}
+	if !r.options.Quarantine.Empty() {
+		a.setDigest()
+		if refusal, ok := r.options.Quarantine.Admit(a.digest); !ok {
+			return quarantined(a, refusal)
+		}
+	}
 	ctx, cancel := context.WithDeadline(ctx, a.deadline)
 	defer cancel()
 	if total := a.request.Usage.Total(); total > 0 && a.workspace != "" {
@@ -122,7 +131,7 @@
 
 // runAttempts sends the request to targets until one responds or no further attempt is allowed.
 func (r *Relay) runAttempts(ctx context.Context, a *activeRequest) *Problem {
-	a.digest = a.request.digest()
+	a.setDigest()
 	r.retryBudget(a.pool).Earn()
 	for {
 		lease, err := r.targets.Acquire(ctx, r.slotRequest(a))
@@ -130,9 +139,11 @@
 			a.cause = err.Error()
 			return r.noTargetProblem(a, err)
 		}
-		a.attempts++
-		a.attemptStartedAt = r.options.Timer.Now()
-		a.target = lease.Target.Name
+		if refusal, ok := r.options.Quarantine.Check(a.digest); !ok { // Another router may have reported a crash.
+			lease.Release(jvtarget.ResultInconclusive)
+			return quarantined(a, refusal)
+		}
+		a.startAttempt(r.options.Timer.Now(), lease.Target.Name, r.registry.startedAt(lease.Target.Name))
 		err = r.attempt(ctx, a, lease)
 		if err == nil {
 			return nil
@@ -150,12 +161,14 @@
 	s := jvtarget.Request{
 		Pool:     a.pool,
 		Attempt:  fmt.Sprintf("%s.%d", a.request.ID, a.attempts+1),
-		Digest:   a.digest,
+		Digest:   a.digest[:],
 		Priority: -a.priority,
 		Avoid:    a.avoid,
 		Deadline: a.deadline,
 	}
-	if a.route.CachedPrefixes {
+	// Requests that were running in the same crash are spread over targets, so that the next crash shows
+	// which of them causes it.
+	if a.route.CachedPrefixes && !r.options.Quarantine.Suspected(a.digest) {
 		s.Prefix = a.request.prefixID()
 	}
 	return s
@@ -179,9 +192,12 @@
 func (r *Relay) afterFailure(ctx context.Context, a *activeRequest, lease jvtarget.Lease, err error) (*Problem, bool) {
 	kind := jvfault.KindOf[Kind](err)
 	r.options.Logger.Info("attempt failed", "request", a.request.ID, "target", lease.Target.Name, "try", a.attempts,
-		"digest", a.shortDigest(), "kind", kind, "cause", err.Error(), "why", lease.Reason, "events", a.eventsForwarded,
+		"digest", a.digest.String(), "kind", kind, "cause", err.Error(), "why", lease.Reason, "events", a.eventsForwarded,
 		"attemptms", r.options.Timer.Since(a.attemptStartedAt).Milliseconds())
 	a.avoid = append(a.avoid, lease.Target.Name)
+	if kind == KindBroken {
+		r.crashes.attemptBroke(ctx, a, lease.Target, errors.Is(err, errStalled))
+	}
 	switch kind {
 	case KindCallerDisconnected:
 		a.possibleRuns++
