jvfleet: count the crashes of plain services, and of targets without an instance

What callers saw: a lookup that crashes each service that runs it was sent to three services with each copy, without end; a booking likewise with each new key. Crashes of a target that never reported an instance, or had not reported the new one yet, counted as one.

Cause: dispatch released the attempt's slot, and with it the record of its digest, before the crash was looked for, so the crash named no request. A crash was told from the one before it by the instance that the target had reported last.

Fix: the crash is looked for before the release, and an attempt remembers whether its crash was recorded. An instance without a name gets that of the attempt in the log; a target that crashed has no instance until its next report. Attempts that started after the break are not named.

--- a/internal/jvfleet/crash.go
+++ b/internal/jvfleet/crash.go
@@ -67,10 +67,11 @@
 }
 
 // detectCrash reports whether a target whose answer broke off has crashed: it refuses connections,
-// or its load report names an instance other than instance, which it reported before. It then
-// records the crash for every request that was running on the target, here, at the peers and in the
-// log.
-func (rt *Router) detectCrash(l jvtarget.Lease, instance string) bool {
+// or its load report names an instance other than the one it reported before. It then records the crash
+// for every request that was running on the target, here, at the peers and in the log. The lease must not
+// have been released.
+func (rt *Router) detectCrash(l jvtarget.Lease) bool {
+	instance, brokeAt := rt.targets.Instance(l), rt.options.Timer.Now()
 	ctx, cancel := context.WithTimeout(rt.ctx, rt.options.Timing.PeerTimeout)
 	defer cancel()
 	load, err := rt.options.Targets.Load(ctx, l.Target)
@@ -79,10 +80,13 @@
 	if !refused && !replaced {
 		return false
 	}
-	digests := rt.targets.RecordCrash(l, instance)
+	digests := rt.targets.RecordCrash(l, brokeAt)
 	if len(digests) == 0 {
 		return true
 	}
+	if instance == "" {
+		instance = unreportedInstance + l.Attempt
+	}
 	rt.meter.Crashes.Inc()
 	rt.options.Logger.Info("target crashed", "target", l.Target.Name, "instance", instance, "requests", len(digests))
 	var records []jvrecord.Record
@@ -96,6 +100,10 @@
 	return true
 }
 
+// unreportedInstance begins the name of an instance that reported no name; the attempt's ID follows, so
+// that the crashes of such a target are told apart.
+const unreportedInstance = "attempt:"
+
 // publishCrashes sends crashes to the peers, since the log is slower; unreachable peers get them
 // from the log.
 func (rt *Router) publishCrashes(digests [][]byte, target, instance string) {
--- a/internal/jvfleet/lookup.go
+++ b/internal/jvfleet/lookup.go
@@ -28,7 +28,7 @@
 		if p != nil {
 			return p
 		}
-		response, err := rt.dispatch(ctx, lease, q)
+		response, crashed, err := rt.dispatch(ctx, lease, q)
 		kind := jvfault.KindOf[jvengine.Kind](err)
 		if err == nil && response.Status < http.StatusInternalServerError {
 			rt.endCall(fl, q, response)
@@ -36,7 +36,7 @@
 		}
 		avoid = append(avoid, lease.Target.Name)
 		mayHaveRun = mayHaveRun || kind != jvengine.KindUnsent
-		if kind == jvengine.KindBroken && rt.detectCrash(lease, rt.targets.Instance(lease)) && rt.quarantined(q.Digest) {
+		if crashed && rt.quarantined(q.Digest) {
 			return &Problem{Name: ProblemQuarantined, Message: messageQuarantined, Outcome: jvrecord.OutcomeUnknown}
 		}
 		switch {
@@ -67,8 +67,8 @@
 	return lease, nil
 }
 
-// dispatch sends a call to a target once and releases the slot.
-func (rt *Router) dispatch(ctx context.Context, lease jvtarget.Lease, q *Request) (jvengine.Response, error) {
+// dispatch sends a call to a target once and releases the slot. It reports whether the target crashed.
+func (rt *Router) dispatch(ctx context.Context, lease jvtarget.Lease, q *Request) (response jvengine.Response, crashed bool, err error) {
 	rt.meter.Attempts.Inc()
 	call := jvengine.Call{
 		ID:          lease.Attempt,
@@ -78,20 +78,24 @@
 		ContentType: q.Call.ContentType,
 		Body:        q.Call.Body,
 	}
-	response, err := rt.options.Targets.Call(ctx, lease.Target, call)
+	response, err = rt.options.Targets.Call(ctx, lease.Target, call)
 	if err != nil {
 		rt.recordDecision(q, jvtrace.StepAttempt, lease.Target.Name, err.Error())
-		if jvfault.KindOf[jvengine.Kind](err) == jvengine.KindCrossed {
+		kind := jvfault.KindOf[jvengine.Kind](err)
+		switch kind {
+		case jvengine.KindCrossed:
 			rt.meter.Crossed.Inc()
+		case jvengine.KindBroken:
+			crashed = rt.detectCrash(lease) // Before the release, which ends the attempt's record at the target.
 		}
-		lease.Release(resultOf(jvfault.KindOf[jvengine.Kind](err)))
-		return response, err
+		lease.Release(resultOf(kind))
+		return response, crashed, err
 	}
 	if response.Load != nil {
 		rt.targets.RecordLoad(q.Call.Pool.Name, lease.Target.Name, *response.Load)
 	}
 	lease.Release(jvtarget.ResultSucceeded)
-	return response, nil
+	return response, false, nil
 }
 
 func (rt *Router) endCall(fl *jvflight.Flight, q *Request, r jvengine.Response) {
--- a/internal/jvfleet/model.go
+++ b/internal/jvfleet/model.go
@@ -251,7 +251,7 @@
 	}
 	rt.meter.WorstCase.AddInt64(r.Tokens)
 	m.settle(r, r.Tokens, "at the worst case, since the target confirmed nothing")
-	return kind == jvengine.KindBroken && rt.detectCrash(lease, rt.targets.Instance(lease))
+	return kind == jvengine.KindBroken && rt.detectCrash(lease)
 }
 
 // resultOf returns the result that a failure of an attempt counts as for its target.
--- a/internal/jvfleet/once.go
+++ b/internal/jvfleet/once.go
@@ -141,7 +141,7 @@
 		if p != nil {
 			return rt.notRun(q, holder, p)
 		}
-		response, err := rt.dispatch(ctx, lease, q)
+		response, _, err := rt.dispatch(ctx, lease, q)
 		kind := jvfault.KindOf[jvengine.Kind](err)
 		switch {
 		case err == nil && response.Status < http.StatusInternalServerError:
@@ -153,8 +153,6 @@
 			continue
 		case kind == jvengine.KindUnsent:
 			return rt.notRun(q, holder, &Problem{Name: ProblemUnavailable, Message: "no target of the service could be reached", RetryAfter: time.Second})
-		case kind == jvengine.KindBroken:
-			rt.detectCrash(lease, rt.targets.Instance(lease))
 		}
 		rt.recordOutcome(q, holder, &jvrecord.Finish{Outcome: jvrecord.OutcomeUnknown})
 		message := "the call was sent and its answer was lost: whether it ran is unknown"
--- a/internal/jvtarget/table.go
+++ b/internal/jvtarget/table.go
@@ -20,10 +20,16 @@
 	leaving bool
 	// missedPolls counts the polls in a row to which the target did not respond.
 	missedPolls int
-	// digests are the digests of this router's requests in progress on the target, by attempt ID.
-	digests map[string][]byte
-	// crashedInstance is the instance whose crash was recorded last.
-	crashedInstance string
+	// running are this router's attempts in progress on the target, by attempt ID.
+	running map[string]*runningAttempt
+}
+
+// runningAttempt is an attempt in progress.
+type runningAttempt struct {
+	// digest identifies the caller's request.
+	digest []byte
+	// crashed is true once the crash that ended the attempt was recorded.
+	crashed bool
 }
 
 // pool is a set of interchangeable targets with the requests that wait for them.
@@ -111,7 +117,7 @@
 		named[g.Name] = true
 		state := p.targets[g.Name]
 		if state == nil || state.config.Address != g.Address {
-			state = &target{digests: map[string][]byte{}}
+			state = &target{running: map[string]*runningAttempt{}}
 			p.targets[g.Name] = state
 		}
 		state.config = g
@@ -222,7 +228,7 @@
 	c := list[i]
 	g := p.targets[c.Name]
 	g.traffic.start(q.Attempt, t.timer.Now())
-	g.digests[q.Attempt] = q.Digest
+	g.running[q.Attempt] = &runningAttempt{digest: q.Digest}
 	g.health.selected()
 	reason := fmt.Sprintf("%s has %d of %d slots busy, %d candidates, near=%t", c.Name, c.Busy, c.Slots, len(list), c.SameZone)
 	return Lease{Target: g.config, Attempt: q.Attempt, Reason: reason, table: t, pool: q.Pool}, ""
@@ -241,7 +247,7 @@
 		p.recordService(now.Sub(startedAt))
 	}
 	g.traffic.finish(l.Attempt, now)
-	delete(g.digests, l.Attempt)
+	delete(g.running, l.Attempt)
 	switch r {
 	case ResultSucceeded:
 		g.health.succeeded()
@@ -288,9 +294,10 @@
 	return p.targets[l.Target.Name].load.Instance
 }
 
-// RecordCrash records that an instance of a target has crashed. It returns the digests of this
-// router's requests in progress on it, or nil if the crash was recorded before.
-func (t *Table) RecordCrash(l Lease, instance string) [][]byte {
+// RecordCrash records that a target crashed while it ran a lease's attempt, which broke off at a time. It
+// returns the digests of this router's requests that were running on it, or nil if the crash that ended
+// the attempt was recorded before. The target's instance is unknown until its next report.
+func (t *Table) RecordCrash(l Lease, at time.Time) [][]byte {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.pools[l.pool]
@@ -298,13 +305,16 @@
 		return nil
 	}
 	g := p.targets[l.Target.Name]
-	if g.crashedInstance == instance {
+	if a := g.running[l.Attempt]; a == nil || a.crashed {
 		return nil
 	}
-	g.crashedInstance = instance
-	digests := make([][]byte, 0, len(g.digests))
-	for _, d := range g.digests {
-		digests = append(digests, d)
+	g.load.Instance = ""
+	digests := make([][]byte, 0, len(g.running))
+	for id, a := range g.running {
+		if !a.crashed && !g.traffic.starts[id].After(at) {
+			a.crashed = true
+			digests = append(digests, a.digest)
+		}
 	}
 	return digests
 }
--- a/internal/jvtarget/table_test.go
+++ b/internal/jvtarget/table_test.go
@@ -133,3 +133,33 @@
 		l.Release(ResultSucceeded)
 	})
 }
+
+// TestCrashesOfOneTarget guards against taking several crashes of a target for one, if it never reported
+// an instance or has not reported the new one yet; attempts that ran together ended in one crash.
+func TestCrashesOfOneTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		timer := jvtimer.NewService()
+		defer timer.Close()
+		table := NewTable("a", timer, func() float64 { return 0 })
+		table.SetPools(map[string][]jvconfig.Target{"p": {{Name: "t", Zone: "a", Address: "t:1", Slots: 4}}}, func(string) bool { return false })
+		acquire := func(attempt string) Lease {
+			l, err := table.Acquire(t.Context(), Request{Pool: "p", Attempt: attempt, Digest: []byte(attempt), Deadline: timer.Now().Add(time.Minute)})
+			require.NoError(t, err)
+			return l
+		}
+		for range 3 {
+			first, second := acquire("first"), acquire("second")
+			table.RecordLoad("p", "t", Load{Instance: "stale", ReportedAt: timer.Now()})
+			crashedAt := timer.Now()
+			time.Sleep(time.Millisecond)
+			later := acquire("later")
+			require.Len(t, table.RecordCrash(first, crashedAt), 2, "an attempt at the restarted target was not running")
+			require.Empty(t, table.RecordCrash(second, crashedAt), "the second attempt ended in the same crash")
+			require.Empty(t, table.Instance(first))
+			for _, l := range []Lease{first, second, later} {
+				l.Release(ResultInconclusive)
+			}
+			time.Sleep(time.Minute)
+		}
+	})
+}
