jvfleet: a quarantined request is told when to return

What callers saw: 424 quarantined without Retry-After, and in an idle fleet for longer than the entry's window, since the log's time advances with its entries only.

Cause: the refusal did not look at the entry's expiry.

Evidence: TestQuarantineSaysWhen failed before: the delay was 0 s.

Fix: the end of the quarantine is derived from the entry's generation, in the log and in the router's own table, and compared with the clock; Retry-After is what is left of it. The state machine is unchanged.

Result: TestQuarantineSaysWhen passes; after the delay the request is served.

--- a/internal/jvfleet/crash.go
+++ b/internal/jvfleet/crash.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/jasminevale/jasminevale/internal/jvengine"
 	"github.com/jasminevale/jasminevale/internal/jvfault"
@@ -49,21 +50,28 @@
 	c.byRequest.Advance(now)
 }
 
-func (c *crashTable) count(digest jvledger.Key) int {
+// quarantinedUntil returns when a request's quarantine ends, in Unix milliseconds, or 0 if this VM knows
+// too few crashes.
+func (c *crashTable) quarantinedUntil(digest jvledger.Key) int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	list, _ := c.byRequest.Get(digest)
-	return len(list)
+	if list, _ := c.byRequest.Get(digest); len(list) < c.limit {
+		return 0
+	}
+	return c.byRequest.ExpiresAt(digest)
 }
 
-// quarantined reports whether a request was running during too many target crashes, as counted
-// by this VM or by the log.
-func (rt *Router) quarantined(digest jvledger.Key) (quarantined bool) {
-	if rt.crashes.count(digest) >= rt.crashes.limit {
-		return true
+// quarantine returns the problem of a request that was running during too many target crashes, as counted
+// by this VM or by the log, or nil.
+func (rt *Router) quarantine(digest jvledger.Key) *Problem {
+	until := rt.crashes.quarantinedUntil(digest)
+	rt.journal.View(func(state *jvledger.State) { until = max(until, state.QuarantinedUntil(digest)) })
+	// The log's own time advances with its entries only, so that in an idle fleet it is behind.
+	left := time.Duration(until-rt.options.Timer.Now().UnixMilli()) * time.Millisecond
+	if left <= 0 {
+		return nil
 	}
-	rt.journal.View(func(state *jvledger.State) { quarantined = state.Quarantined(digest) })
-	return quarantined
+	return &Problem{Name: ProblemQuarantined, Message: messageQuarantined, RetryAfter: max(left, time.Second)}
 }
 
 // detectCrash reports whether a target whose answer broke off has crashed: it refuses connections,
--- a/internal/jvfleet/crash_test.go
+++ b/internal/jvfleet/crash_test.go
@@ -38,3 +38,36 @@
 		require.True(t, s.lookUpBody("a1", "other").served())
 	})
 }
+
+// TestQuarantineSaysWhen guards against a refusal that does not say when to return: the delay must end
+// when the quarantine does, at each router.
+func TestQuarantineSaysWhen(t *testing.T) {
+	const window = 10 * time.Minute
+	synctest.Test(t, func(t *testing.T) {
+		s := newSimulatedFleet(t, func(o *jvfleet.Options) { o.Journal.Rules.PoisonWindow = window.Milliseconds() })
+		defer s.close()
+		for _, v := range vms {
+			s.sim.CrashOn("engine-"+v.vm, "poison")
+		}
+		quarantinedAt := s.sim.Timer.Now()
+		first := s.chat("a1", "", "poison")
+		require.Equal(t, "quarantined", first.problem, "%+v", first)
+		time.Sleep(time.Minute)
+		r := s.chat("b1", "", "poison")
+		require.Equal(t, "quarantined", r.problem, "%+v", r)
+		for _, got := range []response{first, r} {
+			require.GreaterOrEqual(t, got.retryAfter, window-2*time.Minute)
+			require.LessOrEqual(t, got.retryAfter, 2*window)
+		}
+		for _, v := range vms {
+			s.sim.CrashOn("engine-"+v.vm, "nothing")
+		}
+		// A table drops its entries some seconds late, so that a caller may be told to wait once more.
+		for refusals := 0; r.problem == "quarantined" && refusals < 3; refusals++ {
+			time.Sleep(r.retryAfter)
+			r = s.chat("c1", "", "poison")
+		}
+		require.True(t, r.served(), "%+v", r)
+		require.LessOrEqual(t, s.sim.Timer.Since(quarantinedAt), 2*window+time.Minute)
+	})
+}
--- a/internal/jvfleet/lookup.go
+++ b/internal/jvfleet/lookup.go
@@ -36,8 +36,10 @@
 		}
 		avoid = append(avoid, lease.Target.Name)
 		mayHaveRun = mayHaveRun || kind != jvengine.KindUnsent
-		if crashed && rt.quarantined(q.Digest) {
-			return &Problem{Name: ProblemQuarantined, Message: messageQuarantined, Outcome: jvrecord.OutcomeUnknown}
+		if crashed {
+			if p := rt.quarantine(q.Digest); p != nil {
+				return p.WithOutcome(jvrecord.OutcomeUnknown)
+			}
 		}
 		switch {
 		case ctx.Err() != nil:
--- a/internal/jvfleet/model.go
+++ b/internal/jvfleet/model.go
@@ -213,6 +213,11 @@
 	}
 	lease.Release(resultOf(kind))
 	m.avoid = append(m.avoid, lease.Target.Name)
+	if crashed && ctx.Err() == nil {
+		if p := rt.quarantine(q.Digest); p != nil {
+			return false, p
+		}
+	}
 	switch {
 	case kind == jvengine.KindCanceled && ctx.Err() == nil:
 		return false, &Problem{Name: ProblemFailed, Message: "the caller disconnected and has no key to retry with"}
@@ -220,8 +225,6 @@
 		return false, &Problem{Name: ProblemDeadline, Message: "the deadline passed before the answer was complete", RetryAfter: time.Second}
 	case kind == jvengine.KindInvalid:
 		return false, &Problem{Name: ProblemFailed, Message: "the target refused the request: " + err.Error()}
-	case crashed && rt.quarantined(q.Digest):
-		return false, &Problem{Name: ProblemQuarantined, Message: messageQuarantined}
 	case m.attempts >= q.Model.Profile.MaxAttempts:
 		return false, &Problem{Name: ProblemFailed, Message: fmt.Sprintf("%d attempts failed, the last one with: %s", m.attempts, kind), RetryAfter: time.Second}
 	case !rt.retries.Spend():
--- a/internal/jvfleet/once.go
+++ b/internal/jvfleet/once.go
@@ -132,8 +132,8 @@
 // runLocked dispatches a call whose run lock this VM holds. It tries another target only if nothing
 // was sent to the previous one.
 func (rt *Router) runLocked(ctx context.Context, fl *jvflight.Flight, q *Request, holder string) *Problem {
-	if rt.quarantined(q.Digest) {
-		return rt.notRun(q, holder, &Problem{Name: ProblemQuarantined, Message: messageQuarantined})
+	if p := rt.quarantine(q.Digest); p != nil {
+		return rt.notRun(q, holder, p)
 	}
 	var avoid []string
 	for attempt := 1; ; attempt++ {
--- a/internal/jvfleet/problem.go
+++ b/internal/jvfleet/problem.go
@@ -49,7 +49,7 @@
 
 // Messages that several kinds of requests share.
 const (
-	messageQuarantined = "targets crashed on this request: it is not run again"
+	messageQuarantined = "targets crashed on this request: it is not run again until the quarantine ends"
 	messageMismatch    = "the Idempotency-Key was used with another body: use a new key for a new request"
 	messageRetries     = "an attempt failed and the retry budget is used up"
 )
--- a/internal/jvfleet/serve.go
+++ b/internal/jvfleet/serve.go
@@ -20,8 +20,8 @@
 // attempt, settlement), runLookup (target, attempt), or runOnce (run lock, target, one attempt,
 // record of the outcome).
 func (rt *Router) Serve(q *Request) (*jvflight.Flight, *Problem) {
-	if rt.quarantined(q.Digest) && !rt.outcomeKept(q) {
-		return nil, rt.refuse(q, ProblemQuarantined, 0, messageQuarantined)
+	if p := rt.quarantine(q.Digest); p != nil && !rt.outcomeKept(q) {
+		return nil, rt.refuseWith(q, p)
 	}
 	fl, isNew, err := rt.flights.Join(q.Key.String(), q.ID, q.Digest[:])
 	switch jvfault.KindOf[jvflight.Kind](err) {
--- a/internal/jvledger/expiringmap.go
+++ b/internal/jvledger/expiringmap.go
@@ -39,6 +39,18 @@
 	return v, ok
 }
 
+// ExpiresAt returns the log time from which a key's entry is no longer kept, in Unix milliseconds; 0 if
+// it isn't kept now.
+func (m *ExpiringMap[K, V]) ExpiresAt(k K) int64 {
+	if _, ok := m.Current[k]; ok {
+		return m.RotatedAt + 2*m.Window
+	}
+	if _, ok := m.Previous[k]; ok {
+		return m.RotatedAt + m.Window
+	}
+	return 0
+}
+
 // Put sets the entry of a key and starts its window anew.
 func (m *ExpiringMap[K, V]) Put(k K, v V) {
 	delete(m.Previous, k)
--- a/internal/jvledger/view.go
+++ b/internal/jvledger/view.go
@@ -14,10 +14,14 @@
 // RunLock returns the run lock of a key.
 func (s *State) RunLock(k Key) (RunLock, bool) { return s.RunLocks.Get(k) }
 
-// Quarantined reports whether requests with a digest were running in too many target crashes.
-func (s *State) Quarantined(digest Key) bool {
+// QuarantinedUntil returns the log time, in Unix milliseconds, until which requests with a digest are
+// quarantined, since they were running in too many target crashes; 0 if they are not.
+func (s *State) QuarantinedUntil(digest Key) int64 {
 	c, _ := s.Crashes.Get(digest)
-	return len(c.Instances) >= s.rules.QuarantineCrashes
+	if len(c.Instances) < s.rules.QuarantineCrashes {
+		return 0
+	}
+	return s.Crashes.ExpiresAt(digest)
 }
 
 // BudgetTotals returns the summary of a profile's budget.
