Bound the saved retries of all routers together

What callers would see: rule BUDGET broken in a large fleet in trouble, as servers get more repeats than the platform allows.

Cause: each router saved up to 5 retries a pool and started with all of them, whatever the size of the fleet; the slack was divided by an assumed 8 routers. 62 routers with a slack of 164 could save 310, and twice that when all start again in one window.

Fix: a router's limit is its part of the slack by the number of routers whose statements it reads; a router starts with one retry at most. The largest fleet that was seen counts while the store is away and for 30 s after. TestRetryBound's check of the limit is replaced: the limit now depends on the fleet, and five cases check it, with the start.

--- a/internal/jvgrant/fleet_size.go
+++ b/internal/jvgrant/fleet_size.go
@@ -73,3 +73,9 @@
 	defer a.mu.Unlock()
 	return a.fleetSizeLocked()
 }
+
+// CountRouters returns the number of routers that share budgets, and false if it may be outdated since
+// the topic of statements does not respond.
+func (a *Allocator) CountRouters() (int, bool) {
+	return a.fleetSize().routers, a.Reachable()
+}
--- a/internal/jvrelay/attempt.go
+++ b/internal/jvrelay/attempt.go
@@ -17,7 +17,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stall := r.startStallTimer(a, func() {
-		if r.retryBudget(a.pool).Spend() { // Canceling a stalled attempt only helps if another one may follow.
+		if r.retries.budget(a.pool).Spend() { // Canceling a stalled attempt only helps if another one may follow.
 			cancel(errStalled)
 		}
 	})
@@ -62,7 +62,7 @@
 // spendRetry reports whether a request to which a target responded with a failure may be sent
 // again, and takes the retry out of the pool's retry budget.
 func (r *Relay) spendRetry(a *activeRequest) bool {
-	return a.route.Repeatable() && a.possibleRuns+1 < a.route.MaxAttempts && r.retryBudget(a.pool).Spend()
+	return a.route.Repeatable() && a.possibleRuns+1 < a.route.MaxAttempts && r.retries.budget(a.pool).Spend()
 }
 
 // classify turns err into a KindBroken error if the attempt was canceled because it stalled, and
--- a/internal/jvrelay/dump.go
+++ b/internal/jvrelay/dump.go
@@ -17,8 +17,10 @@
 	// Active is the number of requests in progress.
 	Active int64                        `json:"active"`
 	Pools  map[string]jvtarget.PoolView `json:"pools"`
-	// Retries is the number of retries left, by pool.
+	// Retries is the number of retries left, by pool, Routers the size of the fleet by which their limit
+	// is set.
 	Retries map[string]float64 `json:"retries"`
+	Routers int                `json:"routers"`
 	Budgets any                `json:"budgets"`
 	// Quarantine are the requests that were running when targets ended.
 	Quarantine any `json:"quarantine"`
@@ -27,17 +29,12 @@
 
 // Dump returns the relay's state.
 func (r *Relay) Dump() Dump {
-	d := Dump{At: r.options.Timer.Now(), Active: r.Active(), Pools: r.targets.Views(), Retries: map[string]float64{}}
+	d := Dump{At: r.options.Timer.Now(), Active: r.Active(), Pools: r.targets.Views(), Retries: r.retries.saved(), Routers: r.retries.fleetSize()}
 	_, d.NotReadyReason = r.Ready()
 	if t := r.table.Load(); t != nil {
 		d.Version = t.Version()
 		d.RouteCount = t.RouteCount()
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for pool, b := range r.retries {
-		d.Retries[pool] = b.Saved()
-	}
 	return d
 }
 
--- a/internal/jvrelay/fake_test.go
+++ b/internal/jvrelay/fake_test.go
@@ -162,6 +162,11 @@
 }
 
 func newFixture(t *testing.T, scripts ...script) *fixture {
+	return newFixtureWith(t, func(*Options) {}, scripts...)
+}
+
+// newFixtureWith returns a fixture whose relay has changed options.
+func newFixtureWith(t *testing.T, change func(o *Options), scripts ...script) *fixture {
 	s := &fixture{sender: &scriptSender{scripts: scripts}, budgets: &budgetFake{left: 10_000, kind: jvgrant.KindShort, ready: true}}
 	timer := jvtimer.NewService()
 	t.Cleanup(timer.Close)
@@ -173,6 +178,7 @@
 	o.Sender = s.sender
 	o.Budgets = s.budgets
 	o.Quarantine = newLocalQuarantine(timer)
+	change(&o)
 	s.relay = NewRelay(o)
 	s.relay.Configure(table(1))
 	entries := map[string]*Entry{}
--- a/internal/jvrelay/options.go
+++ b/internal/jvrelay/options.go
@@ -62,6 +62,11 @@
 	// MaxSavedRetries the maximum that the budget holds.
 	RetryShare      float64
 	MaxSavedRetries float64
+	// RetrySlack is the number of retries beyond the share that all routers together may make in a pool;
+	// 0 means that each router may save MaxSavedRetries.
+	RetrySlack float64
+	// CountRouters returns the number of routers in the fleet, and false if the number may be outdated.
+	CountRouters func() (int, bool)
 	// ReconnectGrace is how long after the log is reachable again target entries are kept that
 	// are missing from it: they may have lapsed while the log was unreachable.
 	ReconnectGrace time.Duration
@@ -79,6 +84,7 @@
 	return Options{
 		Logger:           logr.Discard(),
 		Congested:        func() bool { return false },
+		CountRouters:     func() (int, bool) { return 1, true },
 		Meter:            jvmeter.NewRelay(),
 		Weights:          jvtarget.Weights{CrossZone: 0.10, PrefixBonus: 0.75, PrefixAnyZone: true, MaxReportAge: time.Second},
 		RetryShare:       0.15,
@@ -90,14 +96,6 @@
 	}
 }
 
-const (
-	// usableRetryShare is the part of the allowed retry share that a router uses: each router
-	// counts on its own and does not see bursts of retries at the others.
-	usableRetryShare = 0.75
-	// slackRouters is the assumed number of routers that share the allowed slack.
-	slackRouters = 8
-)
-
 // WithRetryBound returns options whose retries keep within a share and a slack that all routers
 // together are allowed for a pool; a share of 0 means no bound.
 func (o Options) WithRetryBound(share, slack float64) Options {
@@ -105,6 +103,6 @@
 		return o
 	}
 	o.RetryShare = min(o.RetryShare, usableRetryShare*share)
-	o.MaxSavedRetries = min(o.MaxSavedRetries, slack/slackRouters)
+	o.RetrySlack = slack
 	return o
 }
--- a/internal/jvrelay/relay.go
+++ b/internal/jvrelay/relay.go
@@ -1,12 +1,10 @@
 package jvrelay
 
 import (
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/jasminevale/jasminevale/internal/jvmeter"
-	"github.com/jasminevale/jasminevale/internal/jvretry"
 	"github.com/jasminevale/jasminevale/internal/jvroute"
 	"github.com/jasminevale/jasminevale/internal/jvtarget"
 )
@@ -20,23 +18,22 @@
 	crashes  *crashDetector
 	active   atomic.Int64
 	stopping atomic.Bool
-
-	mu      sync.Mutex
-	retries map[string]*jvretry.Budget
+	retries  *retryBudgets
 }
 
-// expireInterval is the interval at which missing target entries are checked for expiry.
+// expireInterval is the interval at which entries are checked for expiry and the retry budgets adapted.
 const expireInterval = 200 * time.Millisecond
 
 // NewRelay returns a relay without configuration and targets.
 func NewRelay(o Options) *Relay {
-	r := &Relay{options: o, retries: map[string]*jvretry.Budget{}}
+	r := &Relay{options: o, retries: newRetryBudgets(o)}
 	r.targets = jvtarget.NewTableWithWeights(o.Zone, o.Timer, o.Random.Float, o.Weights)
 	r.crashes = newCrashDetector(o)
 	r.registry = newRegistry(o, r.targets, r.crashes)
 	o.Timer.Every(expireInterval, func() {
 		r.registry.expireMissing()
 		r.crashes.expire()
+		r.retries.resize()
 	})
 	return r
 }
@@ -113,15 +110,3 @@
 
 // Active returns the number of requests in progress.
 func (r *Relay) Active() int64 { return r.active.Load() }
-
-// retryBudget returns the retry budget of a pool.
-func (r *Relay) retryBudget(pool string) *jvretry.Budget {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	b := r.retries[pool]
-	if b == nil {
-		b = jvretry.NewBudget(r.options.RetryShare, r.options.MaxSavedRetries)
-		r.retries[pool] = b
-	}
-	return b
-}
--- a/internal/jvrelay/serve.go
+++ b/internal/jvrelay/serve.go
@@ -132,7 +132,7 @@
 // runAttempts sends the request to targets until one responds or no further attempt is allowed.
 func (r *Relay) runAttempts(ctx context.Context, a *activeRequest) *Problem {
 	a.setDigest()
-	r.retryBudget(a.pool).Earn()
+	r.retries.budget(a.pool).Earn()
 	for {
 		lease, err := r.targets.Acquire(ctx, r.slotRequest(a))
 		if err != nil {
@@ -214,7 +214,7 @@
 		return notRun("deadline", "the deadline passed before a target accepted the request", targetRetryAfter), true
 	case kind == KindUnsent && a.notRun < r.options.MaxNotRun:
 		return nil, false
-	case kind == KindRefused && a.notRun < r.options.MaxNotRun && r.retryBudget(a.pool).Spend():
+	case kind == KindRefused && a.notRun < r.options.MaxNotRun && r.retries.budget(a.pool).Spend():
 		return nil, false
 	case a.possibleRuns == 0:
 		return notRun("overloaded", "no target accepted the request: "+err.Error(), targetRetryAfter), true
@@ -223,7 +223,7 @@
 	case a.retryPaid, errors.Is(err, errStalled):
 		a.retryPaid = false
 		return nil, false
-	case r.retryBudget(a.pool).Spend():
+	case r.retries.budget(a.pool).Spend():
 		return nil, false
 	}
 	return mayHaveRun("the retry budget is exhausted after: " + err.Error()), true
--- a/internal/jvrelay/stop_test.go
+++ b/internal/jvrelay/stop_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"github.com/jasminevale/jasminevale/internal/jvtimer"
 )
 
 // TestPlanStop checks that the parts of a planned stop fit into any grace period.
@@ -25,5 +27,23 @@
 	require.InDelta(t, 0.15, o.WithRetryBound(0.2, 56).RetryShare, 1e-9)
 	require.InDelta(t, 0.075, o.WithRetryBound(0.1, 56).RetryShare, 1e-9)
 	require.InDelta(t, 0.15, o.WithRetryBound(0, 0).RetryShare, 1e-9)
-	require.InDelta(t, 2, o.WithRetryBound(0.2, 16).MaxSavedRetries, 1e-9)
+	o.Timer = jvtimer.NewService()
+	defer o.Timer.Close()
+	for _, c := range []struct {
+		slack    float64
+		routers  int
+		maxSaved float64
+		start    float64
+	}{{56, 1, 5, 1}, {56, 8, 5, 1}, {16, 8, 1.5, 0.5}, {164, 62, 1.984, 0.661}, {16, 62, 1, 0.065}} {
+		bounded := o.WithRetryBound(0.2, c.slack)
+		bounded.CountRouters = func() (int, bool) { return c.routers, true }
+		r := newRetryBudgets(bounded)
+		r.resize()
+		maxSaved, start := r.limits()
+		require.InDelta(t, c.maxSaved, maxSaved, 1e-3, "%+v", c)
+		require.InDelta(t, c.start, start, 1e-3, "%+v", c)
+	}
+	maxSaved, start := newRetryBudgets(o).limits()
+	require.InDelta(t, o.MaxSavedRetries, maxSaved, 1e-9)
+	require.InDelta(t, o.MaxSavedRetries, start, 1e-9)
 }
--- a/internal/jvretry/budget.go
+++ b/internal/jvretry/budget.go
@@ -5,17 +5,29 @@
 // Budget is a token bucket that allows retries as a share of first attempts. It is safe for
 // concurrent use; no other lock is acquired while its lock is held.
 type Budget struct {
-	// share is the number of retries that one first attempt adds, maxSaved the limit of saved.
-	share    float64
-	maxSaved float64
+	// share is the number of retries that one first attempt adds.
+	share float64
 
-	mu    sync.Mutex
-	saved float64
+	mu sync.Mutex
+	// maxSaved is the limit of saved.
+	maxSaved float64
+	saved    float64
 }
 
 // NewBudget returns a full budget.
-func NewBudget(share, maxSaved float64) *Budget {
-	return &Budget{share: share, maxSaved: maxSaved, saved: maxSaved}
+func NewBudget(share, maxSaved float64) *Budget { return NewBudgetWith(share, maxSaved, maxSaved) }
+
+// NewBudgetWith returns a budget with saved retries.
+func NewBudgetWith(share, maxSaved, saved float64) *Budget {
+	return &Budget{share: share, maxSaved: maxSaved, saved: min(saved, maxSaved)}
+}
+
+// SetMaxSaved changes the limit of saved retries.
+func (b *Budget) SetMaxSaved(maxSaved float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.maxSaved = maxSaved
+	b.saved = min(b.saved, maxSaved)
 }
 
 // Earn adds the retries that a first attempt earns.
