Limit what a router holds of responses without end

Cause: net/http reads heads of up to 10 MB, and each response or event could take 1 MB, with nothing that limits all of them together; the heap may double before it is collected. An endless run of blank lines also took quadratic time, and comments without end kept a stream alive and were charged as output.

Comments are forwarded, but are no progress.

--- /dev/null
+++ b/internal/jvmemory/doc.go
@@ -0,0 +1,2 @@
+// Package jvmemory limits the memory of buffers whose size a remote server decides.
+package jvmemory
--- a/internal/jvrelay/attempt.go
+++ b/internal/jvrelay/attempt.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/jasminevale/jasminevale/internal/jvfault"
+	"github.com/jasminevale/jasminevale/internal/jvmemory"
 	"github.com/jasminevale/jasminevale/internal/jvroute"
 	"github.com/jasminevale/jasminevale/internal/jvtarget"
 )
@@ -88,37 +89,45 @@
 	return jvtarget.ResultInconclusive
 }
 
-// forwardResponse forwards a response once it is complete, or as it arrives if it exceeds the
-// buffer.
+// forwardResponse forwards a response once it is complete, or as it arrives if it exceeds the buffer or
+// the memory that is left.
 func (r *Relay) forwardResponse(a *activeRequest, response *Response) error {
-	const op = "read response"
-	buffered, err := io.ReadAll(io.LimitReader(response.Body, r.options.MaxBufferedBytes))
-	a.progress = len(buffered) > 0
-	if err != nil {
-		return jvfault.New(op, KindBroken, err)
+	buffer := r.options.Memory.NewBuffer(r.options.MaxBufferedBytes)
+	defer buffer.Free()
+	_, err := buffer.ReadFrom(response.Body)
+	a.progress = len(buffer.Bytes()) > 0
+	if err != nil && !errors.Is(err, jvmemory.ErrFull) {
+		return jvfault.New("read response", KindBroken, err)
 	}
 	a.firstByteAt = r.options.Timer.Now()
 	a.status = response.Status
-	if int64(len(buffered)) < r.options.MaxBufferedBytes {
-		a.headersSent = true
-		a.caller.Begin(response.Status, response.Header, int64(len(buffered)))
-		if err := a.caller.Write(buffered); err != nil {
-			return jvfault.New("forward response", KindCallerDisconnected, err)
-		}
-		return r.finish(a)
-	}
 	a.headersSent = true
+	if err != nil {
+		return r.forwardLongResponse(a, response, buffer.Bytes())
+	}
+	a.caller.Begin(response.Status, response.Header, int64(len(buffer.Bytes())))
+	if err := a.caller.Write(buffer.Bytes()); err != nil {
+		return jvfault.New("forward response", KindCallerDisconnected, err)
+	}
+	return r.finish(a)
+}
+
+// forwardLongResponse forwards what was read of a response, and the rest as it arrives.
+func (r *Relay) forwardLongResponse(a *activeRequest, response *Response, begun []byte) error {
 	a.caller.Begin(response.Status, response.Header, -1)
-	for len(buffered) > 0 {
-		if err := a.caller.Write(buffered); err != nil {
+	for part := begun; ; {
+		if err := a.caller.Write(part); err != nil {
 			return jvfault.New("forward response", KindCallerDisconnected, err)
 		}
-		buffered, err = io.ReadAll(io.LimitReader(response.Body, r.options.MaxBufferedBytes))
-		if err != nil {
-			return jvfault.New(op, KindBroken, err)
+		n, err := response.Body.Read(begun[:cap(begun)])
+		part = begun[:n]
+		switch {
+		case errors.Is(err, io.EOF) && n == 0:
+			return r.finish(a)
+		case err != nil && !errors.Is(err, io.EOF):
+			return jvfault.New("read response", KindBroken, err)
 		}
 	}
-	return r.finish(a)
 }
 
 // finish records that the complete response was forwarded.
@@ -132,7 +141,8 @@
 // event, so that until then another target can still take over the request.
 func (r *Relay) forwardStream(a *activeRequest, response *Response, stall stallTimer) error {
 	const op = "read stream"
-	events := newEventReader(response.Body)
+	events := newEventReader(response.Body, r.options.Memory.NewBuffer(maxEventBytes))
+	defer events.free()
 	for {
 		e, err := events.next()
 		if errors.Is(err, io.EOF) {
@@ -147,7 +157,9 @@
 		if e.id >= 0 && a.lastEventID >= 0 && e.id != a.lastEventID+1 {
 			return jvfault.Newf(op, KindCrossed, "event %d came after event %d", e.id, a.lastEventID)
 		}
-		stall.reset()
+		if e.hasContent {
+			stall.reset()
+		}
 		if err := r.forwardEvent(a, response, e); err != nil {
 			return err
 		}
@@ -160,7 +172,6 @@
 }
 
 func (r *Relay) forwardEvent(a *activeRequest, response *Response, e event) error {
-	a.progress = true
 	if !a.headersSent {
 		a.headersSent = true
 		a.status = response.Status
@@ -170,6 +181,10 @@
 	if err := a.caller.Write(e.raw); err != nil {
 		return jvfault.New("forward stream", KindCallerDisconnected, err)
 	}
+	if !e.hasContent {
+		return nil
+	}
+	a.progress = true
 	a.eventsForwarded++
 	if e.id >= 0 {
 		a.lastEventID = e.id
--- a/internal/jvrelay/events.go
+++ b/internal/jvrelay/events.go
@@ -7,52 +7,79 @@
 	"strconv"
 
 	"github.com/pkg/errors"
+
+	"github.com/jasminevale/jasminevale/internal/jvmemory"
 )
 
-// maxEventBytes limits one event of a stream.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes limits one event of a stream.
+	maxEventBytes = 1 << 20
+	// eventReadBytes is the size of the buffer from which lines are taken; longer ones are put together.
+	eventReadBytes = 1 << 10
+)
 
 // event is one server-sent event with its bytes as received.
 type event struct {
+	// raw is valid until the next event is read.
 	raw []byte
 	// id is the event's numeric ID, or -1 if it has none.
 	id int64
+	// hasContent is false if the event consists of comments only: they show that the server is
+	// connected, not that it works on the request.
+	hasContent bool
 }
 
 // eventReader splits a stream of server-sent events.
 type eventReader struct {
 	reader *bufio.Reader
+	buffer *jvmemory.Buffer
 }
 
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{reader: bufio.NewReaderSize(r, 4<<10)}
+func newEventReader(r io.Reader, b *jvmemory.Buffer) *eventReader {
+	return &eventReader{reader: bufio.NewReaderSize(r, eventReadBytes), buffer: b}
 }
 
+func (r *eventReader) free() { r.buffer.Free() }
+
 // next returns the next complete event. It returns io.EOF if the stream ended after a complete
 // event and io.ErrUnexpectedEOF if it ended within one.
 func (r *eventReader) next() (event, error) {
 	e := event{id: -1}
+	r.buffer.Reset()
+	begun := false     // True once a line was not blank.
+	continued := false // True within a line that is longer than the reader's buffer.
 	for {
 		line, err := r.reader.ReadSlice('\n')
-		e.raw = append(e.raw, line...)
+		if full := r.buffer.Append(line); full != nil {
+			return e, errors.Wrapf(full, "event of more than %d bytes", len(r.buffer.Bytes()))
+		}
+		isLineStart := !continued
+		continued = errors.Is(err, bufio.ErrBufferFull)
 		switch {
-		case errors.Is(err, bufio.ErrBufferFull) && len(e.raw) < maxEventBytes:
-			continue
-		case errors.Is(err, io.EOF) && len(e.raw) > 0:
+		case errors.Is(err, io.EOF) && len(r.buffer.Bytes()) > 0:
 			return e, io.ErrUnexpectedEOF
-		case err != nil:
+		case err != nil && !continued:
 			return e, err
-		case len(e.raw) > maxEventBytes:
-			return e, errors.Errorf("an event is larger than %d bytes", maxEventBytes)
 		}
 		line = bytes.TrimRight(line, "\r\n")
-		if len(line) == 0 && len(bytes.TrimSpace(e.raw)) > 0 {
+		switch {
+		case !isLineStart:
+		case len(line) > 0:
+			begun = true
+			e.addLine(line)
+		case begun:
+			e.raw = r.buffer.Bytes()
 			return e, nil
 		}
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			if n, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64); err == nil {
-				e.id = n
-			}
+	}
+}
+
+// addLine evaluates the beginning of one line of an event.
+func (e *event) addLine(line []byte) {
+	e.hasContent = e.hasContent || line[0] != ':'
+	if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+		if n, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64); err == nil {
+			e.id = n
 		}
 	}
 }
--- a/internal/jvrelay/options.go
+++ b/internal/jvrelay/options.go
@@ -8,6 +8,7 @@
 
 	"github.com/jasminevale/jasminevale/internal/jvchance"
 	"github.com/jasminevale/jasminevale/internal/jvescrow"
+	"github.com/jasminevale/jasminevale/internal/jvmemory"
 	"github.com/jasminevale/jasminevale/internal/jvmeter"
 	"github.com/jasminevale/jasminevale/internal/jvquarantine"
 	"github.com/jasminevale/jasminevale/internal/jvtarget"
@@ -72,8 +73,13 @@
 	ReconnectGrace time.Duration
 	// MaxNotRun limits the attempts of one request that no target ran.
 	MaxNotRun int
-	// MaxBufferedBytes limits the responses that are buffered until they are complete.
-	MaxBufferedBytes int64
+	// MaxBufferedBytes limits the responses that are buffered until they are complete, Memory all
+	// buffers of responses together.
+	MaxBufferedBytes int
+	Memory           *jvmemory.Budget
+	// MaxActive limits the requests in progress, and with them the connections to targets; 0 means no
+	// limit.
+	MaxActive int64
 	// ReserveWaitShare is the share of a route's target latency that a request may wait for its
 	// reservation.
 	ReserveWaitShare float64
@@ -92,6 +98,7 @@
 		ReconnectGrace:   2500 * time.Millisecond,
 		MaxNotRun:        3,
 		MaxBufferedBytes: 1 << 20,
+		Memory:           jvmemory.NewBudget(16 << 20),
 		ReserveWaitShare: 0.5,
 	}
 }
--- a/internal/jvrelay/relay.go
+++ b/internal/jvrelay/relay.go
@@ -108,5 +108,18 @@
 // Stopping reports whether Stop has been called.
 func (r *Relay) Stopping() bool { return r.stopping.Load() }
 
+// Full reports whether as many requests are in progress as this machine's memory allows.
+func (r *Relay) Full() bool {
+	return r.options.MaxActive > 0 && r.active.Load() >= r.options.MaxActive
+}
+
+// RefuseFull refuses a request that has not been read, because of Full.
+func (r *Relay) RefuseFull(id string, c Caller) {
+	p := notRun("overloaded", "this router has as many requests in progress as its memory allows", targetRetryAfter)
+	r.options.Meter.CountOutcome("", p.Name, p.Status)
+	r.options.Logger.Info("request refused unread", "request", id, "active", r.Active(), "limit", r.options.MaxActive)
+	c.Refuse(*p)
+}
+
 // Active returns the number of requests in progress.
 func (r *Relay) Active() int64 { return r.active.Load() }
