jvengine: limit what a target may send

What callers would see: an engine that goes on sending tokens fills the answer, and the router's memory, until the caller's deadline; heads of 10 MB and lines of 1 MB were read on each connection.

Cause: the number of tokens was passed to the engine but not checked, and limits held for one connection, not for all of them.

Fix: an answer with more lines than tokens allowed is broken off; heads are limited to 16 KB, lines to 64 KB, bodies that are being read to 64 MB together.

--- a/internal/jvengine/client.go
+++ b/internal/jvengine/client.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -20,14 +21,20 @@
 
 	"github.com/jasminevale/jasminevale/internal/jvconfig"
 	"github.com/jasminevale/jasminevale/internal/jvfault"
+	"github.com/jasminevale/jasminevale/internal/jvmemory"
 	"github.com/jasminevale/jasminevale/internal/jvtarget"
 	"github.com/jasminevale/jasminevale/internal/jvtimer"
 )
 
 // Limits of what a target may send, in bytes.
 const (
-	maxLineBytes = 1 << 20
+	// maxHeadBytes limits the head of a response, informational ones included.
+	maxHeadBytes = 16 << 10
+	// maxLineBytes limits one line of an engine's answer, which has one token.
+	maxLineBytes = 64 << 10
 	maxBodyBytes = 8 << 20
+	// maxBufferedBytes limits the bodies that are being read at one time.
+	maxBufferedBytes = 64 << 20
 )
 
 // Client is the HTTP implementation of Targets.
@@ -37,6 +44,7 @@
 	// call by itself if it has an Idempotency-Key and no body.
 	unpooled *http.Client
 	timer    *jvtimer.Service
+	memory   *jvmemory.Budget
 	// stallTimeout is the longest time that an engine may take for the next line of an answer.
 	stallTimeout time.Duration
 }
@@ -44,9 +52,14 @@
 // NewClient returns a client on a transport. An attempt fails when the engine sends no line for
 // stallTimeout.
 func NewClient(transport *http.Transport, timer *jvtimer.Service, stallTimeout time.Duration) *Client {
-	withoutKeepAlives := transport.Clone()
-	withoutKeepAlives.DisableKeepAlives = true
-	return &Client{pooled: &http.Client{Transport: transport}, unpooled: &http.Client{Transport: withoutKeepAlives}, timer: timer, stallTimeout: stallTimeout}
+	pooled := transport.Clone()
+	pooled.MaxResponseHeaderBytes = maxHeadBytes
+	unpooled := pooled.Clone()
+	unpooled.DisableKeepAlives = true
+	return &Client{
+		pooled: &http.Client{Transport: pooled}, unpooled: &http.Client{Transport: unpooled},
+		timer: timer, memory: jvmemory.NewBudget(maxBufferedBytes), stallTimeout: stallTimeout,
+	}
 }
 
 // Generate implements Targets.
@@ -68,7 +81,7 @@
 	if err := statusError(op, response); err != nil {
 		return Usage{}, err
 	}
-	return readAnswer(ctx, op, a.ID, response.Body, func(text string) {
+	return readAnswer(ctx, op, a, response.Body, func(text string) {
 		alarm.Reset(c.stallTimeout)
 		sink(text)
 	})
@@ -92,10 +105,10 @@
 }
 
 // readAnswer passes the text of an engine's lines to sink until the last line. It checks that the
-// lines belong to the attempt, are in order and match the digest.
-func readAnswer(ctx context.Context, op, id string, body io.Reader, sink func(text string)) (Usage, error) {
+// lines belong to the attempt, are in order, match the digest, and are no more than the tokens allowed.
+func readAnswer(ctx context.Context, op string, a Attempt, body io.Reader, sink func(text string)) (Usage, error) {
 	lines := bufio.NewScanner(body)
-	lines.Buffer(make([]byte, 0, 4096), maxLineBytes)
+	lines.Buffer(make([]byte, 0, 1024), maxLineBytes)
 	digest := sha256.New()
 	for next := int64(0); lines.Scan(); next++ {
 		var l Line
@@ -103,8 +116,8 @@
 			return Usage{}, jvfault.New(op, KindBroken, err)
 		}
 		switch {
-		case l.Attempt != id:
-			return Usage{}, jvfault.Newf(op, KindCrossed, "received a line of attempt %q in the answer to %q", l.Attempt, id)
+		case l.Attempt != a.ID:
+			return Usage{}, jvfault.Newf(op, KindCrossed, "received a line of attempt %q in the answer to %q", l.Attempt, a.ID)
 		case l.Error != "":
 			return usageOf(l), jvfault.Newf(op, KindBroken, "the engine ended the answer: %s", l.Error)
 		case l.Index != next:
@@ -113,6 +126,8 @@
 			return usageOf(l), jvfault.Newf(op, KindBroken, "the answer's digest does not match its text")
 		case l.Done:
 			return usageOf(l), nil
+		case next >= a.MaxOutput:
+			return Usage{}, jvfault.Newf(op, KindBroken, "the engine sent more than the %d tokens allowed", a.MaxOutput)
 		}
 		_, _ = digest.Write([]byte(l.Text))
 		sink(l.Text)
@@ -182,14 +197,16 @@
 	if echo := response.Header.Get("Attempt"); echo != "" && echo != call.ID {
 		return Response{}, jvfault.Newf(op, KindCrossed, "received the response to attempt %q in place of that to %q", echo, call.ID)
 	}
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes+1))
+	buffer := c.memory.NewBuffer(maxBodyBytes + 1)
+	defer buffer.Free()
+	_, err = buffer.ReadFrom(response.Body)
+	if errors.Is(err, jvmemory.ErrFull) {
+		return Response{}, jvfault.Newf(op, KindBroken, "the response is larger than %d bytes, or than the memory left", len(buffer.Bytes()))
+	}
 	if err != nil {
 		return Response{}, transportError(ctx, op, err)
 	}
-	if len(data) > maxBodyBytes {
-		return Response{}, jvfault.Newf(op, KindBroken, "the response is larger than %d bytes", maxBodyBytes)
-	}
-	return Response{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: data, Load: loadOf(response.Header)}, nil
+	return Response{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: slices.Clone(buffer.Bytes()), Load: loadOf(response.Header)}, nil
 }
 
 // loadOf returns the load report in a response's header, or nil if it has none that can be decoded.
