Recognize a crash of a silent server whose entry lapsed before it came back

What callers would see: a request under which servers go silent, not refuse connections, is not stopped.

Evidence: two cases of TestCrashIsFoundLater failed before (entry lapsed, then a new entry at the address, or the same one with a new start time).

--- a/internal/jvrelay/crashes.go
+++ b/internal/jvrelay/crashes.go
@@ -38,6 +38,7 @@
 	// request is the caller's ID of the copy.
 	request string
 	pool    string
+	address string
 	crash   jvquarantine.Crash
 }
 
@@ -58,7 +59,7 @@
 // attemptBroke reports a crash if the target refuses connections now, and else keeps the attempt until
 // there is evidence. A target that stalled is not probed: it accepts connections or is unreachable.
 func (d *crashDetector) attemptBroke(ctx context.Context, a *activeRequest, t jvconfig.Target, stalled bool) {
-	b := brokenAttempt{digest: a.digest, request: a.request.ID, pool: a.pool, crash: jvquarantine.Crash{
+	b := brokenAttempt{digest: a.digest, request: a.request.ID, pool: a.pool, address: t.Address, crash: jvquarantine.Crash{
 		Target: t.Name, StartedAtMillis: a.targetStartedAt, SentAt: a.attemptStartedAt, EndedAt: d.options.Timer.Now(), Progress: a.progress,
 	}}
 	if !stalled && ctx.Err() == nil {
@@ -79,17 +80,54 @@
 	d.unresolved[t.Name] = append(list, b)
 }
 
-// targetEnded reports a crash for the attempts that broke off shortly before.
-func (d *crashDetector) targetEnded(target string, e evidence) {
+// entrySeen reports a crash for the attempts that broke off at a target which an entry shows to have
+// ended: the entry has another start time, or another target has the address. The target's own entry may
+// have lapsed before.
+func (d *crashDetector) entrySeen(e Entry) {
+	d.resolve(func(b brokenAttempt) evidence {
+		switch {
+		case b.crash.Target != e.Target.Name && b.address == e.Target.Address:
+			return evidenceReplaced
+		case b.crash.Target == e.Target.Name && b.crash.StartedAtMillis != 0 && b.crash.StartedAtMillis != e.StartedAtMillis:
+			return evidenceRestarted
+		}
+		return ""
+	})
+}
+
+// targetReplaced reports a crash for the attempts that broke off at a target at whose address another
+// instance has responded.
+func (d *crashDetector) targetReplaced(target string) {
+	d.resolve(func(b brokenAttempt) evidence {
+		if b.crash.Target == target {
+			return evidenceReplaced
+		}
+		return ""
+	})
+}
+
+// resolve reports a crash for the attempts for which there is evidence now.
+func (d *crashDetector) resolve(find func(b brokenAttempt) evidence) {
+	var crashed []brokenAttempt
+	var shown []evidence
 	d.mu.Lock()
-	list := d.unresolved[target]
-	delete(d.unresolved, target)
-	d.mu.Unlock()
 	now := d.options.Timer.Now()
-	for _, b := range list {
-		if now.Sub(b.crash.EndedAt) <= unresolvedAge {
-			d.report(b, e)
-		}
+	for target, list := range d.unresolved {
+		d.unresolved[target] = slices.DeleteFunc(list, func(b brokenAttempt) bool {
+			e := find(b)
+			if e == "" {
+				return false
+			}
+			if now.Sub(b.crash.EndedAt) <= unresolvedAge {
+				crashed = append(crashed, b)
+				shown = append(shown, e)
+			}
+			return true
+		})
+	}
+	d.mu.Unlock()
+	for n, b := range crashed {
+		d.report(b, shown[n])
 	}
 }
 
--- a/internal/jvrelay/crashes_test.go
+++ b/internal/jvrelay/crashes_test.go
@@ -86,33 +86,50 @@
 		stopped bool
 	}{
 		{"silent, new start time", silent, func(s *fixture, id string, n int) {
-			e := entry(int(id[1]-'0'), int64(n))
+			e := entry(s.sender.index(), int64(n+1))
 			s.relay.Registry().Update(map[string]*Entry{id: e}, false)
 		}, true},
 		{"lost, new start time", lost, func(s *fixture, id string, n int) {
-			e := entry(int(id[1]-'0'), int64(n))
+			e := entry(s.sender.index(), int64(n+1))
 			s.relay.Registry().Update(map[string]*Entry{id: e}, false)
 		}, true},
 		{"lost, new entry at the address", lost, func(s *fixture, id string, n int) {
-			e := entry(int(id[1]-'0'), int64(n))
+			e := entry(s.sender.index(), int64(n))
 			e.Target.Name = fmt.Sprint("new", n)
 			s.relay.Registry().Update(map[string]*Entry{e.Target.Name: e}, false)
 			s.relay.Registry().Update(map[string]*Entry{e.Target.Name: nil}, false)
 		}, true},
+		{"silent, entry lapsed, new entry at the address", silent, func(s *fixture, id string, n int) {
+			s.relay.Registry().Update(map[string]*Entry{id: nil}, false)
+			e := entry(s.sender.index(), int64(n))
+			e.Target.Name = fmt.Sprint("new", n)
+			s.relay.Registry().Update(map[string]*Entry{e.Target.Name: e}, false)
+		}, true},
+		{"silent, entry lapsed, new start time", silent, func(s *fixture, id string, n int) {
+			s.relay.Registry().Update(map[string]*Entry{id: nil}, false)
+			s.relay.Registry().Update(map[string]*Entry{id: entry(s.sender.index(), int64(n+10))}, false)
+		}, true},
+		{"silent, entry lapsed and written again", silent, func(s *fixture, id string, _ int) {
+			s.relay.Registry().Update(map[string]*Entry{id: nil}, false)
+			s.relay.Registry().Update(map[string]*Entry{id: entry(s.sender.index(), 1)}, false)
+		}, false},
 		{"lost, another instance responds", lost, func(s *fixture, id string, _ int) {
 			s.relay.Registry().markDisplaced(id)
-			s.relay.Registry().Update(map[string]*Entry{id: entry(int(id[1]-'0'), 0)}, false)
+			s.relay.Registry().Update(map[string]*Entry{id: entry(s.sender.index(), 1)}, false)
 		}, true},
 		{"lost, not restarted", lost, func(*fixture, string, int) {}, false},
 		{"lost, restarted much later", lost, func(s *fixture, id string, n int) {
 			time.Sleep(unresolvedAge + time.Second)
-			e := entry(int(id[1]-'0'), int64(n))
+			e := entry(s.sender.index(), int64(n+1))
 			s.relay.Registry().Update(map[string]*Entry{id: e}, false)
 		}, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := newFixture(t, c.failure, c.failure, c.failure, c.failure)
+				for n := range 3 {
+					s.relay.Registry().Update(map[string]*Entry{fmt.Sprint("t", n): entry(n, 1)}, false)
+				}
 				for n := range 3 {
 					s.serve(t.Context(), t, "once", nil)
 					time.Sleep(time.Second)
--- a/internal/jvrelay/fake_test.go
+++ b/internal/jvrelay/fake_test.go
@@ -45,11 +45,15 @@
 type scriptSender struct {
 	scripts []script
 	sent    []string
-	// ended is that of the latest script, target the name of the latest attempt's target.
-	ended  bool
-	target string
+	// ended is that of the latest script, target and address are those of the latest attempt's target.
+	ended   bool
+	target  string
+	address string
 }
 
+// index returns the number of the latest attempt's target, which its address tells.
+func (s *scriptSender) index() int { return int(s.address[1] - '0') }
+
 func (s *scriptSender) RefusesConnections(context.Context, jvconfig.Target) bool { return s.ended }
 
 func (s *scriptSender) Send(ctx context.Context, d Dispatch) (*Response, error) {
@@ -60,6 +64,7 @@
 	s.scripts = s.scripts[1:]
 	s.ended = c.ended
 	s.target = d.Target.Name
+	s.address = d.Target.Address
 	line := "sent"
 	if d.LastEventID != "" {
 		line += " after event " + d.LastEventID
--- a/internal/jvrelay/registry.go
+++ b/internal/jvrelay/registry.go
@@ -66,14 +66,8 @@
 		}
 		delete(g.missing, id)
 		delete(g.displaced, id)
-		old, ok := g.entries[id]
-		if ok && old.StartedAtMillis != e.StartedAtMillis {
-			g.crashes.targetEnded(id, evidenceRestarted)
-		}
-		if !ok {
-			g.replaceAddress(id, *e)
-		}
-		if !ok || old != *e {
+		g.crashes.entrySeen(*e)
+		if old, ok := g.entries[id]; !ok || old != *e {
 			g.logger.Info("target", "target", id, "pool", e.Pool, "address", e.Target.Address, "leaving", e.Leaving, "new", !ok, "born", e.StartedAtMillis)
 		}
 		g.entries[id] = *e
@@ -89,16 +83,6 @@
 	g.updateTargets()
 }
 
-// replaceAddress records that the targets which had a new target's address before it have ended. g.mu
-// must be held.
-func (g *Registry) replaceAddress(id string, e Entry) {
-	for other, o := range g.entries {
-		if other != id && o.Target.Address == e.Target.Address {
-			g.crashes.targetEnded(other, evidenceReplaced)
-		}
-	}
-}
-
 // remove removes an entry, or marks it as missing during the grace period; g.mu must be held.
 func (g *Registry) remove(id, reason string) {
 	if _, ok := g.entries[id]; !ok {
@@ -126,7 +110,7 @@
 		return
 	}
 	g.displaced[id] = true
-	g.crashes.targetEnded(id, evidenceReplaced)
+	g.crashes.targetReplaced(id)
 	g.logger.Info("target displaced", "target", id, "address", g.entries[id].Target.Address)
 	g.updateTargets()
 }
