jvfleet: raise the mark for tokens that a request got in its last claims

What callers saw: near the end of a budget, 503 'neither a witness nor the platform's log acknowledged the use of more budget' while tokens were left and witnesses were there.

Cause: the rounds of claims and of raised marks were one count. A request whose tokens arrived in its fifth round, as other VMs returned them, was refused before it asked a witness. Suspected before, and ruled out: nameWitnesses; the marks were not frozen.

Fix: claims and marks have counts of their own, with the limits that they had.

--- a/internal/jvfleet/budget.go
+++ b/internal/jvfleet/budget.go
@@ -24,6 +24,8 @@
 	// logRetryAfter is the retry delay for a caller whose request needs the log while it is
 	// unreachable.
 	logRetryAfter = 5 * time.Second
+	// maxMarkRaises is how often a request raises the mark: others may use up what it opened.
+	maxMarkRaises = 5
 	// maxLenders is the maximum number of peers that a request asks for a loan.
 	maxLenders = 4
 )
@@ -45,7 +47,9 @@
 	started := rt.options.Timer.Now()
 	defer func() { jvmeter.Observe(rt.meter.ReserveWait, rt.options.Timer.Since(started)) }()
 	profile := q.Model.Profile.Name
-	for round := 0; ; round++ {
+	// A request whose claims took all their rounds may still need a mark for the tokens that it got.
+	claims, marks := 0, 0
+	for {
 		s := rt.current()
 		r, err := s.escrow.Reserve(profile, need)
 		var p *Problem
@@ -55,11 +59,13 @@
 			rt.recordDecision(q, jvtrace.StepReserve, "", fmt.Sprintf("%d tokens reserved under %s", need, s.origin))
 			return sessionReservation{Reservation: r, session: s}, nil
 		case jvescrow.KindMark:
-			p = rt.openTranche(ctx, s, profile, need, round)
+			p = rt.openTranche(ctx, s, profile, need, marks)
+			marks++
 		case jvescrow.KindClosed:
 			p = rt.closedProblem()
 		case jvescrow.KindShort:
-			p = rt.replenish(ctx, s, profile, need, round)
+			p = rt.replenish(ctx, s, profile, need, claims)
+			claims++
 		}
 		if p != nil {
 			rt.recordDecision(q, jvtrace.StepReserve, "", fmt.Sprintf("%d tokens refused: %s", need, p.Message))
--- a/internal/jvfleet/witness.go
+++ b/internal/jvfleet/witness.go
@@ -17,12 +17,13 @@
 	origin string
 }
 
-// openTranche raises a mark so that need more tokens can be reserved.
+// openTranche raises a mark so that need more tokens can be reserved; round counts how often the request
+// did so before.
 func (rt *Router) openTranche(ctx context.Context, s *session, profile string, need int64, round int) *Problem {
 	a := s.escrow.Account(profile)
 	mark, _ := rt.options.ClaimPolicy.NextMark(a, max(need, rt.typicalNeed(profile)))
 	mark = max(mark, a.Committed()+need)
-	if round <= maxShortClaims && rt.raiseMarks(ctx, s, map[string]int64{profile: mark}) {
+	if round < maxMarkRaises && rt.raiseMarks(ctx, s, map[string]int64{profile: mark}) {
 		return nil
 	}
 	return &Problem{
