Serve a workspace with little demand on while the store is away

What callers saw: 503 'the stated bound on spending is reached' for the second request of a workspace after the store became unreachable, with 13 times the tokens held.

Cause: a router that has published after one request covers 1.5 typical requests until its next statement.

Fix: where five requests of every router together are less than 0.5% of the budget, the bound covers five in any case. Restarts then lose at most that; budgets of the users' sites are too small for it to apply.

--- a/internal/jvgrant/publisher.go
+++ b/internal/jvgrant/publisher.go
@@ -168,10 +168,22 @@
 		r.BoundRate = int64(float64(held) / a.options.Policy.Horizon.Seconds())
 		r.Headroom = max(r.Headroom, held/assumedRequests)
 	}
+	r.Headroom = max(r.Headroom, min(a.ampleHeadroom(workspace), maxHeadroomRequests*r.TypicalRequest))
 	r.Headroom = max(min(r.Headroom, a.maxHeadroom(workspace)), a.waiting(workspace))
 	return r
 }
 
+// ampleHeadroom returns the headroom that a bound may have in any case, since all routers together lose
+// no more than ampleHeadroomShare of the budget by it. Without it, a router that has seen one request of
+// a workspace could not serve the next ones while the store is away. a.mu must be held.
+func (a *Allocator) ampleHeadroom(workspace string) int64 {
+	prepaid, _ := a.options.Prepaid(workspace)
+	return int64(ampleHeadroomShare * float64(prepaid) / float64(a.routers()))
+}
+
+// ampleHeadroomShare is a share of a budget that is small against fleetHeadroomShare.
+const ampleHeadroomShare = 0.005
+
 // maxHeadroom returns the maximum headroom of a bound. It is unlimited in a small fleet; in a large one
 // it is the router's part of fleetHeadroomShare, since the headroom of every router counts as lost
 // when all of them are killed together. Where it is less than a request, each request waits for a
