Count admitted requests at admission; report only clear records that were applied

Two corrections from reading the change: requests whose bodies were being read did not count against the limit by memory, so that many could pass it at once, and a clear record of a closed origin or a repeated batch forgot crashes in the routers' own tables (TestMaxActive, TestClear).

--- a/internal/jvledger/apply.go
+++ b/internal/jvledger/apply.go
@@ -37,7 +37,7 @@
 	SnapshotHash *jvrecord.Checkpoint
 	// Bills lists the bills in the entry, including repeated ones.
 	Bills []BillID
-	// Cleared lists the digests of the clear records in the entry.
+	// Cleared lists the digests of the clear records in the entry that were applied.
 	Cleared [][]byte
 	// Version is the configuration version after the entry.
 	Version uint64
@@ -63,11 +63,11 @@
 	result.Offset = e.Offset
 	result.Checkpoint = s.CheckpointOffset == e.Offset+1
 	result.Version = s.Version
-	for _, r := range batch.Records {
+	for n, r := range batch.Records {
 		if r.Report != nil {
 			result.Bills = append(result.Bills, billIDs(r.Report.Bills)...)
 		}
-		if r.Clear != nil {
+		if r.Clear != nil && n < len(result.Verdicts) && result.Verdicts[n].cleared() {
 			result.Cleared = append(result.Cleared, r.Clear.Digest)
 		}
 		if r.Checkpoint != nil && r.Checkpoint.Offset > 0 {
--- a/internal/jvledger/runlock.go
+++ b/internal/jvledger/runlock.go
@@ -99,3 +99,7 @@
 	s.Crashes.Delete(k)
 	return Verdict{Reason: ReasonAccepted}
 }
+
+// cleared reports whether a clear record with this verdict was applied; the log may have had no crashes
+// of its request.
+func (v Verdict) cleared() bool { return v.Reason == ReasonAccepted || v.Reason == ReasonMissing }
--- a/internal/jvledger/state_test.go
+++ b/internal/jvledger/state_test.go
@@ -128,5 +128,9 @@
 	a = apply(5, batch(5, poison(digest, "1"), jvrecord.Record{Clear: &jvrecord.Clear{Digest: []byte("short")}}))
 	require.Equal(t, ReasonAccepted, a.Verdicts[0].Reason)
 	require.Equal(t, ReasonInvalid, a.Verdicts[1].Reason)
+	require.Empty(t, a.Cleared)
 	require.Zero(t, s.QuarantinedUntil(digest))
+	a = apply(6, batch(1, jvrecord.Record{Clear: &jvrecord.Clear{Digest: other[:]}}))
+	require.Empty(t, a.Cleared, "a batch that was applied before")
+	require.Positive(t, s.QuarantinedUntil(other))
 }
--- a/internal/jvrelay/relay.go
+++ b/internal/jvrelay/relay.go
@@ -17,6 +17,7 @@
 	registry *Registry
 	crashes  *crashDetector
 	active   atomic.Int64
+	entered  atomic.Int64
 	stopping atomic.Bool
 	retries  *retryBudgets
 }
@@ -108,12 +109,20 @@
 // Stopping reports whether Stop has been called.
 func (r *Relay) Stopping() bool { return r.stopping.Load() }
 
-// Full reports whether as many requests are in progress as this machine's memory allows.
-func (r *Relay) Full() bool {
-	return r.options.MaxActive > 0 && r.active.Load() >= r.options.MaxActive
+// Enter admits a request, unless as many are in progress as this machine's memory allows. Leave must be
+// called at the end of a request that was admitted.
+func (r *Relay) Enter() bool {
+	if n := r.entered.Add(1); r.options.MaxActive > 0 && n > r.options.MaxActive {
+		r.entered.Add(-1)
+		return false
+	}
+	return true
 }
 
-// RefuseFull refuses a request that has not been read, because of Full.
+// Leave ends a request that Enter admitted.
+func (r *Relay) Leave() { r.entered.Add(-1) }
+
+// RefuseFull refuses a request that Enter did not admit and that has not been read.
 func (r *Relay) RefuseFull(id string, c Caller) {
 	p := notRun("overloaded", "this router has as many requests in progress as its memory allows", targetRetryAfter)
 	r.options.Meter.CountOutcome("", p.Name, p.Status)
--- a/internal/jvrelay/stop_test.go
+++ b/internal/jvrelay/stop_test.go
@@ -47,3 +47,20 @@
 	require.InDelta(t, o.MaxSavedRetries, maxSaved, 1e-9)
 	require.InDelta(t, o.MaxSavedRetries, start, 1e-9)
 }
+
+// TestMaxActive checks that no more requests are admitted than MaxActive, and that their end makes room.
+func TestMaxActive(t *testing.T) {
+	s := newFixtureWith(t, func(o *Options) { o.MaxActive = 2 })
+	require.True(t, s.relay.Enter())
+	require.True(t, s.relay.Enter())
+	require.False(t, s.relay.Enter())
+	c := &callerFake{}
+	s.relay.RefuseFull("r", c)
+	require.Equal(t, "refused 503 overloaded, retry after 200ms", c.got.String())
+	s.relay.Leave()
+	require.True(t, s.relay.Enter())
+	unlimited := newFixture(t)
+	for range 10_000 {
+		require.True(t, unlimited.relay.Enter())
+	}
+}
