Recognize crashes of silent servers by their lapsed entries, and of callers that left

What callers would see: a request under which servers go silent is stopped late or not at all, if they come back elsewhere, or if its callers leave them before the deadline, as they do after two seconds.

Cause: evidence was asked for only of attempts that ended by a reset, a stall or the deadline, and a lapsed entry was none.

Evidence: without the change two cases of TestCrashIsFoundLater (no response after a lost connection; entry lapsed, new address) and TestCallersLeaveSilentTargets fail.

Fix: a connection that was closed by a machine that does not respond any more, and an entry that lapses though the server was not draining, are evidence; the latter is withdrawn if the same process writes its entry again, since the server was only cut off (TestWithdraw). An attempt whose caller left before the target had sent anything waits for evidence as well.

--- a/internal/jvquarantine/quarantine.go
+++ b/internal/jvquarantine/quarantine.go
@@ -111,15 +111,30 @@
 	return Refusal{Crashes: len(q.table.requests[d].crashes), RetryAfter: until.Sub(now)}, false
 }
 
-// ReportCrash records that a target ended during an attempt, here and for the other routers.
-func (q *Quarantine) ReportCrash(d Digest, c Crash) {
-	key := d.String() + keySeparator + uuid.NewString()
+// ReportCrash records that a target ended during an attempt, here and for the other routers. It returns
+// the key by which Withdraw takes the report back.
+func (q *Quarantine) ReportCrash(d Digest, c Crash) (key string) {
+	key = d.String() + keySeparator + uuid.NewString()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	c.at = q.options.Timer.Now()
 	q.table.add(key, d, c)
 	q.enqueue(encodeRecord(key, c))
 	q.logChanges(d)
+	return key
+}
+
+// Withdraw takes back a report, here and for the other routers: the target did not end.
+func (q *Quarantine) Withdraw(key string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	d, ok := q.table.digests[key]
+	if !ok {
+		return
+	}
+	q.table.remove(key)
+	q.enqueue(jvkeyed.Record{Key: key})
+	q.logChanges(d)
 }
 
 // ReportCompletion clears a request, here and for the other routers.
--- a/internal/jvquarantine/quarantine_test.go
+++ b/internal/jvquarantine/quarantine_test.go
@@ -259,3 +259,21 @@
 		require.LessOrEqual(t, len(r.pending), 20)
 	})
 }
+
+// TestWithdraw checks that a report that was taken back counts at no router.
+func TestWithdraw(t *testing.T) {
+	inFleet(t, 3, func(f *fleet) {
+		now := f.timer.Now()
+		var last string
+		for n := range 3 {
+			last = f.routers[0].ReportCrash(digest(1), Crash{Target: fmt.Sprint("t", n), SentAt: now, EndedAt: now})
+		}
+		f.settle()
+		f.requireRefused(digest(1))
+		f.routers[0].Withdraw(last)
+		f.routers[0].Withdraw("not known")
+		f.settle()
+		f.requireAdmitted(digest(1))
+		require.Len(t, f.topic.newest(), 2)
+	})
+}
--- a/internal/jvrelay/crashes.go
+++ b/internal/jvrelay/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -16,6 +17,11 @@
 const (
 	// evidenceRefused means that the target's machine refuses connections.
 	evidenceRefused evidence = "refused"
+	// evidenceUnreachable means that the target closed or reset the connection, and its machine does not
+	// respond since.
+	evidenceUnreachable evidence = "unreachable"
+	// evidenceLapsed means that the target's entry was removed although it was not leaving.
+	evidenceLapsed evidence = "lapsed"
 	// evidenceRestarted means that the target's entry has another start time.
 	evidenceRestarted evidence = "restarted"
 	// evidenceReplaced means that another instance has the target's address.
@@ -30,6 +36,8 @@
 	unresolvedAge = 10 * time.Second
 	// maxUnresolved limits the attempts on one target that wait for evidence.
 	maxUnresolved = 64
+	// lapsedAge is how long a target that was cut off may take to write its entry again.
+	lapsedAge = time.Minute
 )
 
 // brokenAttempt is an attempt that may have been running when its target ended.
@@ -50,24 +58,31 @@
 	mu sync.Mutex
 	// unresolved are the attempts without evidence so far, by target.
 	unresolved map[string][]brokenAttempt
+	// lapsed are the reports that follow from lapsed entries only, by target.
+	lapsed map[string][]lapsedReport
+}
+
+// lapsedReport is a report of a crash that is withdrawn if the target's entry is written again with the
+// same start time: the target was cut off.
+type lapsedReport struct {
+	key             string
+	startedAtMillis int64
+	at              time.Time
 }
 
 func newCrashDetector(o Options) *crashDetector {
-	return &crashDetector{options: o, unresolved: map[string][]brokenAttempt{}}
+	return &crashDetector{options: o, unresolved: map[string][]brokenAttempt{}, lapsed: map[string][]lapsedReport{}}
 }
 
-// attemptBroke reports a crash if the target refuses connections now, and else keeps the attempt until
-// there is evidence. A target that stalled is not probed: it accepts connections or is unreachable.
-func (d *crashDetector) attemptBroke(ctx context.Context, a *activeRequest, t jvconfig.Target, stalled bool) {
+// attemptBroke reports a crash if the target accepts no connections now, and else keeps the attempt until
+// there is evidence. A target that was silent is not probed: it may be cut off or busy.
+func (d *crashDetector) attemptBroke(ctx context.Context, a *activeRequest, t jvconfig.Target, silent bool) {
 	b := brokenAttempt{digest: a.digest, request: a.request.ID, pool: a.pool, address: t.Address, crash: jvquarantine.Crash{
 		Target: t.Name, StartedAtMillis: a.targetStartedAt, SentAt: a.attemptStartedAt, EndedAt: d.options.Timer.Now(), Progress: a.progress,
 	}}
-	if !stalled && ctx.Err() == nil {
-		probe, cancel := context.WithTimeout(ctx, probeTimeout)
-		refused := d.options.Sender.RefusesConnections(probe, t)
-		cancel()
-		if refused {
-			d.report(b, evidenceRefused)
+	if !silent && ctx.Err() == nil {
+		if e := d.probe(ctx, t); e != "" {
+			d.report(b, e)
 			return
 		}
 	}
@@ -80,10 +95,26 @@
 	d.unresolved[t.Name] = append(list, b)
 }
 
+// probe returns the evidence that a target's machine gives by not accepting a connection, or "".
+func (d *crashDetector) probe(ctx context.Context, t jvconfig.Target) evidence {
+	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	switch d.options.Sender.Probe(probeCtx, t) {
+	case ProbeRefused:
+		return evidenceRefused
+	case ProbeNoResponse:
+		if ctx.Err() == nil { // Otherwise the attempt's own deadline ended the probe.
+			return evidenceUnreachable
+		}
+	}
+	return ""
+}
+
 // entrySeen reports a crash for the attempts that broke off at a target which an entry shows to have
 // ended: the entry has another start time, or another target has the address. The target's own entry may
 // have lapsed before.
 func (d *crashDetector) entrySeen(e Entry) {
+	d.withdrawLapsed(e)
 	d.resolve(func(b brokenAttempt) evidence {
 		switch {
 		case b.crash.Target != e.Target.Name && b.address == e.Target.Address:
@@ -95,12 +126,32 @@
 	})
 }
 
+// entryRemoved reports a crash for the attempts that broke off at a target whose entry was removed.
+func (d *crashDetector) entryRemoved(target string) { d.resolveTarget(target, evidenceLapsed) }
+
+// withdrawLapsed withdraws the reports that follow from the lapse of an entry which is written again by
+// the same process.
+func (d *crashDetector) withdrawLapsed(e Entry) {
+	d.mu.Lock()
+	reports := d.lapsed[e.Target.Name]
+	delete(d.lapsed, e.Target.Name)
+	d.mu.Unlock()
+	for _, r := range reports {
+		if r.startedAtMillis == e.StartedAtMillis {
+			d.options.Logger.Info("target did not end", "target", e.Target.Name, "born", e.StartedAtMillis)
+			d.options.Quarantine.Withdraw(r.key)
+		}
+	}
+}
+
 // targetReplaced reports a crash for the attempts that broke off at a target at whose address another
 // instance has responded.
-func (d *crashDetector) targetReplaced(target string) {
+func (d *crashDetector) targetReplaced(target string) { d.resolveTarget(target, evidenceReplaced) }
+
+func (d *crashDetector) resolveTarget(target string, e evidence) {
 	d.resolve(func(b brokenAttempt) evidence {
 		if b.crash.Target == target {
-			return evidenceReplaced
+			return e
 		}
 		return ""
 	})
@@ -147,10 +198,16 @@
 	d.options.Meter.CountCrash(b.pool, string(e))
 	d.options.Logger.Info("target ended during a request", "request", b.request, "digest", b.digest.String(), "target", b.crash.Target,
 		"born", b.crash.StartedAtMillis, "evidence", e, "progress", b.crash.Progress)
-	d.options.Quarantine.ReportCrash(b.digest, b.crash)
+	key := d.options.Quarantine.ReportCrash(b.digest, b.crash)
+	if e != evidenceLapsed {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lapsed[b.crash.Target] = append(d.lapsed[b.crash.Target], lapsedReport{key: key, startedAtMillis: b.crash.StartedAtMillis, at: d.options.Timer.Now()})
 }
 
-// expire forgets attempts that waited for evidence for too long.
+// expire forgets attempts that waited for evidence for too long, and reports that stand.
 func (d *crashDetector) expire() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -164,4 +221,7 @@
 			delete(d.unresolved, target)
 		}
 	}
+	maps.DeleteFunc(d.lapsed, func(_ string, reports []lapsedReport) bool {
+		return now.Sub(reports[len(reports)-1].at) > lapsedAge
+	})
 }
--- a/internal/jvrelay/crashes_test.go
+++ b/internal/jvrelay/crashes_test.go
@@ -1,6 +1,7 @@
 package jvrelay
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"testing"
@@ -21,6 +22,11 @@
 	return &Entry{Pool: "p", Target: jvconfig.Target{Name: id, Zone: "a", Address: id + ":1", Slots: 4}, StartedAtMillis: startedAt}
 }
 
+// entryAt returns the entry of a target whose address is its own.
+func entryAt(id string) *Entry {
+	return &Entry{Pool: "p", Target: jvconfig.Target{Name: id, Zone: "a", Address: id + ":1", Slots: 4}, StartedAtMillis: 1}
+}
+
 // serveCopies sends copies of one request, 3 s apart, so that targets are tried again, and returns how
 // many attempts targets got and what the last caller received.
 func (s *fixture) serveCopies(t *testing.T, route string, copies int) (attempts int, last string) {
@@ -99,6 +105,21 @@
 			s.relay.Registry().Update(map[string]*Entry{e.Target.Name: e}, false)
 			s.relay.Registry().Update(map[string]*Entry{e.Target.Name: nil}, false)
 		}, true},
+		{"lost, no response", script{err: KindBroken, dark: true}, func(*fixture, string, int) {}, true},
+		{"silent, entry lapsed, new address", silent, func(s *fixture, id string, n int) {
+			s.relay.Registry().Update(map[string]*Entry{id: nil}, false)
+			s.relay.Registry().Update(map[string]*Entry{fmt.Sprint("new", n): entryAt(fmt.Sprint("new", n))}, false)
+		}, true},
+		{"silent, entry lapsed and written again", silent, func(s *fixture, id string, _ int) {
+			s.relay.Registry().Update(map[string]*Entry{id: nil}, false)
+			s.relay.Registry().Update(map[string]*Entry{id: entry(s.sender.index(), 1)}, false)
+		}, false},
+		{"silent, left", silent, func(s *fixture, id string, n int) {
+			e := entryAt(id)
+			e.Leaving = true
+			s.relay.Registry().Update(map[string]*Entry{id: e}, false)
+			s.relay.Registry().Update(map[string]*Entry{id: nil, fmt.Sprint("new", n): entryAt(fmt.Sprint("new", n))}, false)
+		}, false},
 		{"silent, entry lapsed, new entry at the address", silent, func(s *fixture, id string, n int) {
 			s.relay.Registry().Update(map[string]*Entry{id: nil}, false)
 			e := entry(s.sender.index(), int64(n))
@@ -109,10 +130,6 @@
 			s.relay.Registry().Update(map[string]*Entry{id: nil}, false)
 			s.relay.Registry().Update(map[string]*Entry{id: entry(s.sender.index(), int64(n+10))}, false)
 		}, true},
-		{"silent, entry lapsed and written again", silent, func(s *fixture, id string, _ int) {
-			s.relay.Registry().Update(map[string]*Entry{id: nil}, false)
-			s.relay.Registry().Update(map[string]*Entry{id: entry(s.sender.index(), 1)}, false)
-		}, false},
 		{"lost, another instance responds", lost, func(s *fixture, id string, _ int) {
 			s.relay.Registry().markDisplaced(id)
 			s.relay.Registry().Update(map[string]*Entry{id: entry(s.sender.index(), 1)}, false)
@@ -143,6 +160,31 @@
 	}
 }
 
+// TestCallersLeaveSilentTargets guards against missing crashes of targets that go silent, as callers
+// leave before the deadline.
+func TestCallersLeaveSilentTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		silent := script{delay: time.Hour}
+		s := newFixture(t, silent, silent, silent)
+		for range 3 {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			callerLeaves, leave := context.WithCancel(context.WithoutCancel(ctx))
+			go func() {
+				<-ctx.Done()
+				leave()
+			}()
+			s.serve(callerLeaves, t, "fixed", nil)
+			cancel()
+			s.relay.Registry().markDisplaced(s.sender.target)
+			time.Sleep(3 * time.Second)
+		}
+		for n := range 3 {
+			s.relay.Registry().Update(map[string]*Entry{fmt.Sprint("t", n): entry(n, 0)}, false)
+		}
+		require.Contains(t, s.serve(t.Context(), t, "fixed", nil), "refused 503 quarantined")
+	})
+}
+
 // TestStreamSurvivesCrashes guards against refusing a stream because servers died under it: its events
 // arrived, so it did not crash them.
 func TestStreamSurvivesCrashes(t *testing.T) {
--- a/internal/jvrelay/fake_test.go
+++ b/internal/jvrelay/fake_test.go
@@ -35,8 +35,9 @@
 	// cut ends the body with an error; hang never ends it.
 	cut  bool
 	hang bool
-	// ended makes the target refuse connections afterwards.
+	// ended makes the target refuse connections afterwards, dark makes it not respond to them.
 	ended bool
+	dark  bool
 	// delay is how long the target takes to respond.
 	delay time.Duration
 }
@@ -45,8 +46,9 @@
 type scriptSender struct {
 	scripts []script
 	sent    []string
-	// ended is that of the latest script, target and address are those of the latest attempt's target.
-	ended   bool
+	// probe is the result that follows from the latest script, target and address are those of the
+	// latest attempt's target.
+	probe   ProbeResult
 	target  string
 	address string
 }
@@ -54,7 +56,7 @@
 // index returns the number of the latest attempt's target, which its address tells.
 func (s *scriptSender) index() int { return int(s.address[1] - '0') }
 
-func (s *scriptSender) RefusesConnections(context.Context, jvconfig.Target) bool { return s.ended }
+func (s *scriptSender) Probe(context.Context, jvconfig.Target) ProbeResult { return s.probe }
 
 func (s *scriptSender) Send(ctx context.Context, d Dispatch) (*Response, error) {
 	if len(s.scripts) == 0 {
@@ -62,7 +64,13 @@
 	}
 	c := s.scripts[0]
 	s.scripts = s.scripts[1:]
-	s.ended = c.ended
+	s.probe = ProbeAccepted
+	switch {
+	case c.ended:
+		s.probe = ProbeRefused
+	case c.dark:
+		s.probe = ProbeNoResponse
+	}
 	s.target = d.Target.Name
 	s.address = d.Target.Address
 	line := "sent"
--- a/internal/jvrelay/options.go
+++ b/internal/jvrelay/options.go
@@ -37,8 +37,9 @@
 	// admitted still may.
 	Admit(d jvquarantine.Digest) (jvquarantine.Refusal, bool)
 	Check(d jvquarantine.Digest) (jvquarantine.Refusal, bool)
-	// ReportCrash records that a target ended during an attempt.
-	ReportCrash(d jvquarantine.Digest, c jvquarantine.Crash)
+	// ReportCrash records that a target ended during an attempt, Withdraw that it did not.
+	ReportCrash(d jvquarantine.Digest, c jvquarantine.Crash) (key string)
+	Withdraw(key string)
 	// ReportCompletion records that a target ran the request to its end.
 	ReportCompletion(d jvquarantine.Digest)
 }
--- a/internal/jvrelay/registry.go
+++ b/internal/jvrelay/registry.go
@@ -96,6 +96,14 @@
 		g.logger.Info("target missing", "target", id, "why", reason, "kept", g.reconnectGrace.String())
 		return
 	}
+	g.drop(id, reason)
+}
+
+// drop removes an entry; g.mu must be held.
+func (g *Registry) drop(id, reason string) {
+	if !g.entries[id].Leaving {
+		g.crashes.entryRemoved(id)
+	}
 	delete(g.entries, id)
 	delete(g.displaced, id)
 	g.logger.Info("target gone", "target", id, "why", reason)
@@ -125,9 +133,8 @@
 			continue
 		}
 		delete(g.missing, id)
-		delete(g.entries, id)
+		g.drop(id, "entry not written again in time")
 		removed = true
-		g.logger.Info("target gone", "target", id, "why", "entry not written again in time")
 	}
 	if removed {
 		g.updateTargets()
--- a/internal/jvrelay/sender.go
+++ b/internal/jvrelay/sender.go
@@ -46,11 +46,22 @@
 	// Send returns once the target's status has arrived. Errors are KindUnsent if no byte
 	// reached the target, else KindBroken.
 	Send(ctx context.Context, d Dispatch) (*Response, error)
-	// RefusesConnections reports whether a target's machine refuses new connections, which shows that
-	// the target's process has ended.
-	RefusesConnections(ctx context.Context, t jvconfig.Target) bool
+	// Probe opens a connection to a target and closes it.
+	Probe(ctx context.Context, t jvconfig.Target) ProbeResult
 }
 
+// ProbeResult is how a target's machine responds to a new connection.
+type ProbeResult string
+
+// Results of a probe.
+const (
+	ProbeAccepted ProbeResult = "accepted"
+	// ProbeRefused means that nothing listens at the target's address.
+	ProbeRefused ProbeResult = "refused"
+	// ProbeNoResponse means that the machine did not respond in time.
+	ProbeNoResponse ProbeResult = "no response"
+)
+
 // Caller receives the response to a request.
 type Caller interface {
 	// Begin sends the status and headers of a target's response; length is the size of its body
--- a/internal/jvrelay/serve.go
+++ b/internal/jvrelay/serve.go
@@ -195,8 +195,11 @@
 		"digest", a.digest.String(), "kind", kind, "cause", err.Error(), "why", lease.Reason, "events", a.eventsForwarded,
 		"attemptms", r.options.Timer.Since(a.attemptStartedAt).Milliseconds())
 	a.avoid = append(a.avoid, lease.Target.Name)
-	if kind == KindBroken {
+	switch {
+	case kind == KindBroken:
 		r.crashes.attemptBroke(ctx, a, lease.Target, errors.Is(err, errStalled))
+	case kind == KindCallerDisconnected && !a.progress: // Callers leave a silent target.
+		r.crashes.attemptBroke(ctx, a, lease.Target, true)
 	}
 	switch kind {
 	case KindCallerDisconnected:
