--- a/internal/jvrelay/sender.go
+++ b/internal/jvrelay/sender.go
@@ -55,6 +55,7 @@
 
 // Results of a probe.
 const (
+	// ProbeAccepted means that a server listens at the target's address.
 	ProbeAccepted ProbeResult = "accepted"
 	// ProbeRefused means that nothing listens at the target's address.
 	ProbeRefused ProbeResult = "refused"
