TestEndlessBytes: idle connections end by themselves

Its goroutines (SIGQUIT) show two connections without a request: opened for one that ended meanwhile, they were idle in the client's pool, whose timeout the test had left out, and the server waited for a request on them.

--- a/internal/jvengine/endless_test.go
+++ b/internal/jvengine/endless_test.go
@@ -23,6 +23,8 @@
 	callers = 64
 	// answerTimeout is the deadline of a request.
 	answerTimeout = time.Second
+	// idleTimeout is how long the client keeps idle connections.
+	idleTimeout = 100 * time.Millisecond
 )
 
 // endlessTarget is a target that sends a beginning and then blocks without end to each request.
@@ -85,7 +87,8 @@
 			e := newEndlessTarget(t, c.begin, c.block)
 			timer := jvtimer.NewService()
 			defer timer.Close()
-			client := NewClient(&http.Transport{}, timer, time.Minute)
+			// A connection that was opened for a request which ended meanwhile is idle until this timeout.
+			client := NewClient(&http.Transport{IdleConnTimeout: idleTimeout}, timer, time.Minute)
 			target := jvconfig.Target{Name: "t", Address: e.listener.Addr().String()}
 			var running sync.WaitGroup
 			for n := range callers {
