--- a/internal/jvmeter/relay.go
+++ b/internal/jvmeter/relay.go
@@ -38,6 +38,12 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("jv_relay_attempts_total{pool=%q,failure=%q}", pool, kind)).Inc()
 }
 
+// CountVersionAttempt counts an attempt by pool, by the version of its target's software, and by whether it
+// resumes a stream.
+func (m *Relay) CountVersionAttempt(pool, version string, resumes bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("jv_relay_version_attempts_total{pool=%q,version=%q,resumes=\"%t\"}", pool, version, resumes)).Inc()
+}
+
 // CountCrash counts an attempt during which its target ended, by pool and by what shows it.
 func (m *Relay) CountCrash(pool, evidence string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("jv_relay_crashes_total{pool=%q,evidence=%q}", pool, evidence)).Inc()
--- a/internal/jvrelay/active.go
+++ b/internal/jvrelay/active.go
@@ -36,6 +36,8 @@
 	progress         bool
 	// targetStartedAt is the start of the latest target's process in Unix milliseconds, or 0.
 	targetStartedAt int64
+	// targetVersion is the version of the latest target's software, or "" if it isn't known.
+	targetVersion string
 	// avoid are the names of the targets on which attempts failed.
 	avoid []string
 	// target is the name of the latest attempt's target.
@@ -67,12 +69,13 @@
 }
 
 // startAttempt records the beginning of an attempt.
-func (a *activeRequest) startAttempt(now time.Time, target string, targetStartedAt int64) {
+func (a *activeRequest) startAttempt(now time.Time, target string, e Entry) {
 	a.attempts++
 	a.attemptStartedAt = now
 	a.progress = false
 	a.target = target
-	a.targetStartedAt = targetStartedAt
+	a.targetStartedAt = e.StartedAtMillis
+	a.targetVersion = e.Version
 }
 
 // resumeAfter returns the ID of the event after which the next attempt resumes the stream.
--- a/internal/jvrelay/attempt.go
+++ b/internal/jvrelay/attempt.go
@@ -25,6 +25,7 @@
 	defer stall.stop()
 	defer func() {
 		r.options.Meter.CountAttempt(a.pool, string(jvfault.KindOf[Kind](err)))
+		r.options.Meter.CountVersionAttempt(a.pool, a.targetVersion, a.resumeAfter() != "")
 		lease.Release(resultOf(err))
 	}()
 	response, err := r.options.Sender.Send(ctx, Dispatch{
--- a/internal/jvrelay/registry.go
+++ b/internal/jvrelay/registry.go
@@ -70,7 +70,7 @@
 		delete(g.displaced, id)
 		g.crashes.entrySeen(*e)
 		if old, ok := g.entries[id]; !ok || old != *e {
-			g.logger.Info("target", "target", id, "pool", e.Pool, "address", e.Target.Address, "leaving", e.Leaving, "new", !ok, "born", e.StartedAtMillis)
+			g.logger.Info("target", "target", id, "pool", e.Pool, "address", e.Target.Address, "leaving", e.Leaving, "new", !ok, "born", e.StartedAtMillis, "build", e.Version)
 		}
 		g.entries[id] = *e
 	}
@@ -159,11 +159,11 @@
 	g.targets.SetPools(pools, func(name string) bool { return entries[name].Leaving })
 }
 
-// startedAt returns the start of a target's process by its entry, or 0 if it isn't known.
-func (g *Registry) startedAt(id string) int64 {
+// entry returns a target's entry, or the zero Entry if it has none.
+func (g *Registry) entry(id string) Entry {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.entries[id].StartedAtMillis
+	return g.entries[id]
 }
 
 // Loaded reports whether the list of targets has been read.
--- a/internal/jvrelay/report.go
+++ b/internal/jvrelay/report.go
@@ -22,7 +22,7 @@
 	}
 	values := []any{
 		"request", a.request.ID, "outcome", outcome, "status", a.status, "route", a.route.Name, "version", a.configVersion,
-		"workspace", a.workspace, "pool", a.pool, "target", a.target, "tries", a.attempts, "runs", a.possibleRuns,
+		"workspace", a.workspace, "pool", a.pool, "target", a.target, "build", a.targetVersion, "tries", a.attempts, "runs", a.possibleRuns,
 		"events", a.eventsForwarded, "ms", now.Sub(a.request.ArrivedAt).Milliseconds(),
 	}
 	if !a.firstByteAt.IsZero() {
@@ -41,6 +41,9 @@
 	if a.features.Request != (jvquarantine.Digest{}) {
 		values = append(values, "digest", a.features.Request.String())
 	}
+	if a.request.Resumes != "" || a.request.LastEventID != "" {
+		values = append(values, "resumes", a.request.Resumes, "after", a.request.LastEventID)
+	}
 	if a.cause != "" {
 		values = append(values, "cause", a.cause)
 	}
--- a/internal/jvrelay/request.go
+++ b/internal/jvrelay/request.go
@@ -45,6 +45,9 @@
 	// LastEventID is the ID of the last event that the caller has of an earlier response to the
 	// same request, or empty.
 	LastEventID string
+	// Resumes is the ID of the request that brought the caller the first event of the stream that this one
+	// resumes, or empty.
+	Resumes string
 }
 
 // digest returns a hash that is the same for all copies of a request, whatever their IDs. The caller is
--- a/internal/jvrelay/serve.go
+++ b/internal/jvrelay/serve.go
@@ -143,7 +143,7 @@
 			lease.Release(jvtarget.ResultInconclusive)
 			return quarantined(a, refusal)
 		}
-		a.startAttempt(r.options.Timer.Now(), lease.Target.Name, r.registry.startedAt(lease.Target.Name))
+		a.startAttempt(r.options.Timer.Now(), lease.Target.Name, r.registry.entry(lease.Target.Name))
 		err = r.attempt(ctx, a, lease)
 		if err == nil {
 			return nil
@@ -191,7 +191,7 @@
 // not, it returns true and the problem to respond with, or nil if the caller has disconnected.
 func (r *Relay) afterFailure(ctx context.Context, a *activeRequest, lease jvtarget.Lease, err error) (*Problem, bool) {
 	kind := jvfault.KindOf[Kind](err)
-	r.options.Logger.Info("attempt failed", "request", a.request.ID, "target", lease.Target.Name, "try", a.attempts,
+	r.options.Logger.Info("attempt failed", "request", a.request.ID, "target", lease.Target.Name, "build", a.targetVersion, "try", a.attempts,
 		"digest", a.features.Request.String(), "kind", kind, "cause", err.Error(), "why", lease.Reason, "events", a.eventsForwarded,
 		"attemptms", r.options.Timer.Since(a.attemptStartedAt).Milliseconds())
 	a.avoid = append(a.avoid, lease.Target.Name)
