--- /dev/null
+++ b/internal/jvmember/members.go
@@ -0,0 +1,201 @@
+package jvmember
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jasminevale/jasminevale/internal/jvfault"
+	"github.com/jasminevale/jasminevale/internal/jvkeyed"
+)
+
+// Member is one router of the fleet.
+type Member struct {
+	Name string `json:"router"`
+	Zone string `json:"zone"`
+	// Address is the host:port at which other routers reach it.
+	Address string `json:"address"`
+}
+
+// registered is a member with the time of its last registration on this router's steady clock.
+type registered struct {
+	Member
+
+	at time.Time
+}
+
+// Members are the routers of the fleet, by their registrations. It is safe for concurrent use.
+type Members struct {
+	options   Options
+	follower  *jvkeyed.Follower
+	publisher *jvkeyed.Publisher
+
+	mu     sync.Mutex
+	byName map[string]registered
+	// others are the members without this router, in order of name. The slice is replaced, never changed.
+	others []Member
+	secret []byte
+	closed bool
+}
+
+// New returns Members that know none.
+func New(o Options) *Members {
+	m := &Members{options: o, byName: map[string]registered{}}
+	m.follower = jvkeyed.NewFollower(jvkeyed.Options{
+		Name: o.Name, Topic: o.Topic, Timer: o.Timer, Logger: o.Logger, Random: o.Random,
+		ReadWait: o.ReadWait, ReadTimeout: o.ReadTimeout, Apply: m.apply,
+	})
+	m.publisher = jvkeyed.NewPublisher(jvkeyed.PublisherOptions{
+		Topic: o.Topic, Timer: o.Timer, Logger: o.Logger, Random: o.Random, MaxPending: maxPending,
+		Unconfirmed: "members not confirmed", Dropped: "member not published",
+	})
+	return m
+}
+
+const (
+	// maxPending limits the records that wait for the topic: this router's own, and those of members that
+	// it removes.
+	maxPending = 1000
+	// secretRetry is the time between two attempts to give the fleet a secret.
+	secretRetry = 200 * time.Millisecond
+	// secretTimeout bounds one attempt.
+	secretTimeout = time.Second
+)
+
+// Run registers this router and follows the topic until ctx ends.
+func (m *Members) Run(ctx context.Context) {
+	m.register()
+	registration := m.options.Timer.Every(m.options.Interval, m.register)
+	defer registration.Close()
+	var running sync.WaitGroup
+	running.Go(func() { m.follower.Run(ctx) })
+	running.Go(func() { m.publisher.Run(ctx) })
+	running.Go(func() { m.provideSecret(ctx) })
+	running.Wait()
+}
+
+// provideSecret gives the fleet a secret if it has none. Of several routers that try, the topic accepts the
+// first: the others append at an end that is outdated then.
+func (m *Members) provideSecret(ctx context.Context) {
+	for m.currentSecret() == nil {
+		if m.follower.Loaded() {
+			call, cancel := context.WithTimeout(ctx, secretTimeout)
+			_, err := m.options.Topic.AppendAt(call, m.follower.NextOffset(), []jvkeyed.Record{{Key: secretKey, Value: m.options.NewSecret()}})
+			cancel()
+			if err != nil && jvfault.KindOf[jvkeyed.Kind](err) != jvkeyed.KindConflict {
+				m.options.Logger.Info("secret not confirmed", "cause", err.Error())
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.options.Timer.After(secretRetry):
+		}
+	}
+}
+
+// Close removes this router from the members, until ctx ends at the latest.
+func (m *Members) Close(ctx context.Context) {
+	m.mu.Lock()
+	m.closed = true
+	m.mu.Unlock()
+	if m.options.Self.Address == "" {
+		return
+	}
+	if _, err := m.options.Topic.Append(ctx, jvkeyed.Producer{}, []jvkeyed.Record{{Key: routerPrefix + m.options.Self.Name}}); err != nil {
+		m.options.Logger.Info("members not confirmed", "cause", err.Error())
+	}
+}
+
+// register publishes this router's registration, and removes the members that did not register for long.
+func (m *Members) register() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed || m.options.Self.Address == "" {
+		return
+	}
+	now := m.options.Timer.Now()
+	m.publisher.Put(encodeMember(m.options.Self, now.UnixMilli()))
+	for name, r := range m.byName {
+		if name != m.options.Self.Name && now.Sub(r.at) > m.options.MaxAge {
+			delete(m.byName, name)
+			m.publisher.Put(jvkeyed.Record{Key: routerPrefix + name})
+		}
+	}
+	m.updateOthers()
+}
+
+// Others returns the members without this router, in order of name. The caller must not change the slice.
+func (m *Members) Others() []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.others
+}
+
+// Self returns this router.
+func (m *Members) Self() Member { return m.options.Self }
+
+func (m *Members) currentSecret() []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.secret
+}
+
+// apply applies records of the topic.
+func (m *Members) apply(records []jvkeyed.Record, complete bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	listed := map[string]bool{}
+	for _, r := range records {
+		m.publisher.Drop(r)
+		name, isRouter := strings.CutPrefix(r.Key, routerPrefix)
+		switch {
+		case isRouter:
+			listed[name] = true
+			m.applyMember(name, r)
+		case r.Key == secretKey && len(r.Value) == SecretBytes:
+			m.secret = r.Value
+		}
+	}
+	for name := range m.byName {
+		if complete && !listed[name] {
+			delete(m.byName, name)
+		}
+	}
+	m.updateOthers()
+}
+
+// applyMember applies the record of a router; m.mu must be held.
+func (m *Members) applyMember(name string, r jvkeyed.Record) {
+	now := m.options.Timer.Now()
+	if len(r.Value) == 0 {
+		delete(m.byName, name)
+		if name == m.options.Self.Name && !m.closed && m.options.Self.Address != "" { // By an earlier process of this router.
+			m.publisher.Put(encodeMember(m.options.Self, now.UnixMilli()))
+		}
+		return
+	}
+	member, at, err := decodeMember(name, r.Value)
+	if err != nil {
+		m.options.Logger.Info("skipping a member that can't be decoded", "offset", r.Offset, "cause", err.Error())
+		return
+	}
+	// Clocks differ, so a registration counts as at most half as old as it may be.
+	age := min(max(time.Duration(now.UnixMilli()-at)*time.Millisecond, 0), m.options.MaxAge/2)
+	m.byName[name] = registered{Member: member, at: now.Add(-age)}
+}
+
+// updateOthers derives the list of the other members; m.mu must be held.
+func (m *Members) updateOthers() {
+	others := make([]Member, 0, len(m.byName))
+	for name, r := range m.byName {
+		if name != m.options.Self.Name {
+			others = append(others, r.Member)
+		}
+	}
+	slices.SortFunc(others, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	m.others = others
+}
--- /dev/null
+++ b/internal/jvmember/record.go
@@ -0,0 +1,42 @@
+package jvmember
+
+import (
+	"strings"
+
+	"github.com/jasminevale/jasminevale/internal/jvcodec"
+	"github.com/jasminevale/jasminevale/internal/jvfault"
+	"github.com/jasminevale/jasminevale/internal/jvkeyed"
+)
+
+const (
+	// routerPrefix is the prefix of the keys of routers' records; the router's name follows.
+	routerPrefix = "router/"
+	// secretKey is the key of the fleet's secret, whose record is its bytes.
+	secretKey = "secret"
+)
+
+// memberRecord is the value of a router's record.
+type memberRecord struct {
+	// At is when the router registered, in Unix milliseconds of its clock.
+	At   int64  `cbor:"at"`
+	Zone string `cbor:"zone"`
+	// Address is the host:port for other routers.
+	Address string `cbor:"address"`
+}
+
+func encodeMember(m Member, atMillis int64) jvkeyed.Record {
+	return jvkeyed.Record{Key: routerPrefix + m.Name, Value: jvcodec.Encode(memberRecord{At: atMillis, Zone: m.Zone, Address: m.Address})}
+}
+
+// decodeMember decodes a router's record.
+func decodeMember(name string, value []byte) (m Member, atMillis int64, err error) {
+	const op = "decode member"
+	r, err := jvcodec.Decode[memberRecord](value)
+	if err != nil {
+		return m, 0, jvfault.New(op, KindMalformed, err)
+	}
+	if name == "" || !strings.Contains(r.Address, ":") {
+		return m, 0, jvfault.Newf(op, KindMalformed, "the router %q has the address %q", name, r.Address)
+	}
+	return Member{Name: name, Zone: r.Zone, Address: r.Address}, r.At, nil
+}
