--- a/internal/jvconfig/pool.go
+++ b/internal/jvconfig/pool.go
@@ -26,6 +26,9 @@
 	Address string `json:"address"`
 	// Slots is the number of requests that the target runs at once.
 	Slots int64 `json:"slots"`
+	// Version is the version of the target's software, or empty if it isn't known. Targets of the
+	// configuration have none.
+	Version string `json:"-"`
 }
 
 // CallRule allows the calls of a plain service with a method and a path that begins with Prefix.
--- a/internal/jvmeter/relay.go
+++ b/internal/jvmeter/relay.go
@@ -44,6 +44,12 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("jv_relay_version_attempts_total{pool=%q,version=%q,resumes=\"%t\"}", pool, version, resumes)).Inc()
 }
 
+// CountResumption counts a request that resumes a stream, by pool and by how the version that began the stream
+// is known.
+func (m *Relay) CountResumption(pool, source string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("jv_relay_resumptions_total{pool=%q,source=%q}", pool, source)).Inc()
+}
+
 // CountCrash counts an attempt during which its target ended, by pool and by what shows it.
 func (m *Relay) CountCrash(pool, evidence string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("jv_relay_crashes_total{pool=%q,evidence=%q}", pool, evidence)).Inc()
--- a/internal/jvrelay/active.go
+++ b/internal/jvrelay/active.go
@@ -5,8 +5,10 @@
 	"strconv"
 	"time"
 
+	"github.com/jasminevale/jasminevale/internal/jvconfig"
 	"github.com/jasminevale/jasminevale/internal/jvquarantine"
 	"github.com/jasminevale/jasminevale/internal/jvroute"
+	"github.com/jasminevale/jasminevale/internal/jvversion"
 )
 
 // activeRequest is a request in progress with the state of its attempts.
@@ -36,8 +38,11 @@
 	progress         bool
 	// targetStartedAt is the start of the latest target's process in Unix milliseconds, or 0.
 	targetStartedAt int64
-	// targetVersion is the version of the latest target's software, or "" if it isn't known.
-	targetVersion string
+	// version is the version of the latest target's software, or "" if it isn't known.
+	version string
+	// origin is where the caller's stream began, once that is certain: bound is true then.
+	origin jvversion.Origin
+	bound  bool
 	// avoid are the names of the targets on which attempts failed.
 	avoid []string
 	// target is the name of the latest attempt's target.
@@ -69,13 +74,13 @@
 }
 
 // startAttempt records the beginning of an attempt.
-func (a *activeRequest) startAttempt(now time.Time, target string, e Entry) {
+func (a *activeRequest) startAttempt(now time.Time, target jvconfig.Target, targetStartedAt int64) {
 	a.attempts++
 	a.attemptStartedAt = now
 	a.progress = false
-	a.target = target
-	a.targetStartedAt = e.StartedAtMillis
-	a.targetVersion = e.Version
+	a.target = target.Name
+	a.targetStartedAt = targetStartedAt
+	a.version = target.Version
 }
 
 // resumeAfter returns the ID of the event after which the next attempt resumes the stream.
--- a/internal/jvrelay/attempt.go
+++ b/internal/jvrelay/attempt.go
@@ -25,7 +25,7 @@
 	defer stall.stop()
 	defer func() {
 		r.options.Meter.CountAttempt(a.pool, string(jvfault.KindOf[Kind](err)))
-		r.options.Meter.CountVersionAttempt(a.pool, a.targetVersion, a.resumeAfter() != "")
+		r.options.Meter.CountVersionAttempt(a.pool, a.version, a.resumeAfter() != "")
 		lease.Release(resultOf(err))
 	}()
 	response, err := r.options.Sender.Send(ctx, Dispatch{
@@ -197,6 +197,7 @@
 
 func (r *Relay) forwardEvent(a *activeRequest, response *Response, e event) error {
 	if !a.headersSent {
+		r.bindBegun(a)
 		a.headersSent = true
 		a.status = response.Status
 		a.firstByteAt = r.options.Timer.Now()
--- a/internal/jvrelay/crashes.go
+++ b/internal/jvrelay/crashes.go
@@ -74,16 +74,16 @@
 	return &crashDetector{options: o, unresolved: map[string][]brokenAttempt{}, lapsed: map[string][]lapsedReport{}}
 }
 
-// attemptBroke reports a crash if the target accepts no connections now, and else keeps the attempt until
-// there is evidence. A target that was silent is not probed: it may be cut off or busy.
-func (d *crashDetector) attemptBroke(ctx context.Context, a *activeRequest, t jvconfig.Target, silent bool) {
+// attemptBroke reports a crash and returns true if the target accepts no connections now, and else keeps the
+// attempt until there is evidence. A target that was silent is not probed: it may be cut off or busy.
+func (d *crashDetector) attemptBroke(ctx context.Context, a *activeRequest, t jvconfig.Target, silent bool) (ended bool) {
 	b := brokenAttempt{features: a.features, request: a.request.ID, pool: a.pool, address: t.Address, crash: jvquarantine.Crash{
 		Target: t.Name, StartedAtMillis: a.targetStartedAt, SentAt: a.attemptStartedAt, EndedAt: d.options.Timer.Now(), Progress: a.progress,
 	}}
 	if !silent && ctx.Err() == nil {
 		if e := d.probe(ctx, t); e != "" {
 			d.report(b, e)
-			return
+			return true
 		}
 	}
 	d.mu.Lock()
@@ -93,6 +93,7 @@
 		list = list[1:]
 	}
 	d.unresolved[t.Name] = append(list, b)
+	return false
 }
 
 // probe returns the evidence that a target's machine gives by not accepting a connection, or "".
--- a/internal/jvrelay/dump.go
+++ b/internal/jvrelay/dump.go
@@ -24,6 +24,9 @@
 	Budgets any                `json:"budgets"`
 	// Limits are the limits that targets name.
 	Limits any `json:"limits"`
+	// Versions are the versions of targets, Members the other routers of the fleet.
+	Versions any `json:"versions"`
+	Members  any `json:"members"`
 	// Quarantine are the requests that were running when targets ended.
 	Quarantine any `json:"quarantine"`
 	Settings   any `json:"settings"`
--- a/internal/jvrelay/entry.go
+++ b/internal/jvrelay/entry.go
@@ -10,6 +10,4 @@
 	Leaving bool
 	// StartedAtMillis is the start of the target's process, in Unix milliseconds of its own clock.
 	StartedAtMillis int64
-	// Version is the version of the target's software, or "" if it isn't known.
-	Version string
 }
--- a/internal/jvrelay/error.go
+++ b/internal/jvrelay/error.go
@@ -1,6 +1,10 @@
 package jvrelay
 
-import "github.com/jasminevale/jasminevale/internal/jvfault"
+import (
+	"github.com/pkg/errors"
+
+	"github.com/jasminevale/jasminevale/internal/jvfault"
+)
 
 // Kind is the class of a failed attempt.
 type Kind string
@@ -21,5 +25,8 @@
 	KindCallerDisconnected Kind = "gone"
 )
 
+// ErrConnectionRefused is the cause of a KindUnsent error if nothing listens at the target's address.
+var ErrConnectionRefused = errors.New("connection refused")
+
 // Error is the error of a failed attempt.
 type Error = jvfault.Error[Kind]
--- a/internal/jvrelay/fake_test.go
+++ b/internal/jvrelay/fake_test.go
@@ -22,6 +22,7 @@
 	"github.com/jasminevale/jasminevale/internal/jvquarantine"
 	"github.com/jasminevale/jasminevale/internal/jvroute"
 	"github.com/jasminevale/jasminevale/internal/jvtimer"
+	"github.com/jasminevale/jasminevale/internal/jvversion"
 )
 
 // script is the behavior of a target for one attempt.
@@ -177,11 +178,35 @@
 	return localQuarantine{Quarantine: jvquarantine.New(o)}
 }
 
+// versionsFake knows the origins of streams that it was given.
+type versionsFake struct {
+	byRequest map[string]jvversion.Origin
+	// only is the version of all targets, or empty.
+	only  string
+	begun map[string]jvversion.Origin
+}
+
+func (v *versionsFake) Observe(map[string][]string) {}
+
+func (v *versionsFake) Begin(request string, o jvversion.Origin) { v.begun[request] = o }
+
+func (v *versionsFake) Find(_ context.Context, _ []string, request string) (jvversion.Origin, jvversion.Source) {
+	if o, ok := v.byRequest[request]; ok {
+		return o, jvversion.SourcePeer
+	}
+	if v.only != "" {
+		return jvversion.Origin{Version: v.only}, jvversion.SourceOnly
+	}
+	return jvversion.Origin{}, jvversion.SourceNone
+}
+
 // fixture is a relay with three targets.
 type fixture struct {
 	relay   *Relay
 	sender  *scriptSender
 	budgets *budgetFake
+	// versions knows that all targets have the version v1.
+	versions *versionsFake
 }
 
 func newFixture(t *testing.T, scripts ...script) *fixture {
@@ -205,13 +230,15 @@
 	limits.Timer = timer
 	limits.Clock = timer.Now
 	o.Limits = jvlimit.New(limits)
+	s.versions = &versionsFake{only: "v1", byRequest: map[string]jvversion.Origin{}, begun: map[string]jvversion.Origin{}}
+	o.Versions = s.versions
 	change(&o)
 	s.relay = NewRelay(o)
 	s.relay.Configure(table(1))
 	entries := map[string]*Entry{}
 	for n := range 3 {
 		id := fmt.Sprint("t", n)
-		entries[id] = &Entry{Pool: "p", Target: jvconfig.Target{Name: id, Zone: "a", Address: id + ":1", Slots: 4}}
+		entries[id] = &Entry{Pool: "p", Target: jvconfig.Target{Name: id, Zone: "a", Address: id + ":1", Slots: 4, Version: "v1"}}
 	}
 	s.relay.Registry().Update(entries, true)
 	return s
--- a/internal/jvrelay/options.go
+++ b/internal/jvrelay/options.go
@@ -13,6 +13,7 @@
 	"github.com/jasminevale/jasminevale/internal/jvquarantine"
 	"github.com/jasminevale/jasminevale/internal/jvtarget"
 	"github.com/jasminevale/jasminevale/internal/jvtimer"
+	"github.com/jasminevale/jasminevale/internal/jvversion"
 )
 
 // Budgets are the prepaid budgets of workspaces.
@@ -53,6 +54,16 @@
 	Count() int
 }
 
+// Versions knows at which versions of targets' software streams began.
+type Versions interface {
+	// Observe records the versions of all targets, by pool; "" is a version that isn't known.
+	Observe(pools map[string][]string)
+	// Begin records where the stream of a request began.
+	Begin(request string, o jvversion.Origin)
+	// Find returns where the stream of a request began whose route uses some pools, and how that is known.
+	Find(ctx context.Context, pools []string, request string) (jvversion.Origin, jvversion.Source)
+}
+
 // Options configure a Relay.
 type Options struct {
 	// Zone is the router's availability zone.
@@ -66,6 +77,13 @@
 	Quarantine Quarantine
 	// Limits holds the limits that targets name.
 	Limits Limits
+	// Versions holds the versions at which streams began.
+	Versions Versions
+	// TargetsCurrent reports whether the list of targets is up to date.
+	TargetsCurrent func() bool
+	// LateDrain is how long after a target was seen to leave it still gets streams that can go on nowhere
+	// else, since all other targets have another version.
+	LateDrain time.Duration
 	// Congested reports whether this machine's network link is so busy that callers are
 	// better served by another machine.
 	Congested func() bool
@@ -102,6 +120,7 @@
 	return Options{
 		Logger:           logr.Discard(),
 		Congested:        func() bool { return false },
+		TargetsCurrent:   func() bool { return true },
 		CountRouters:     func() (int, bool) { return 1, true },
 		Meter:            jvmeter.NewRelay(),
 		Weights:          jvtarget.Weights{CrossZone: 0.10, PrefixBonus: 0.75, PrefixAnyZone: true, MaxReportAge: time.Second},
--- a/internal/jvrelay/registry.go
+++ b/internal/jvrelay/registry.go
@@ -20,6 +20,8 @@
 	targets        *jvtarget.Table
 	crashes        *crashDetector
 	limits         Limits
+	versions       Versions
+	targetsCurrent func() bool
 	reconnectGrace time.Duration
 
 	mu      sync.Mutex
@@ -30,6 +32,10 @@
 	// displaced are targets at whose address another instance responded; they are not used until
 	// their entries are written again.
 	displaced map[string]bool
+	// unverified are the targets whose process has ended by what connections show, with the time since which
+	// no change of their entry could have been missed. Their version is not known: they may have started
+	// again with another one.
+	unverified map[string]time.Time
 	// graceEnd is when the current grace period ends.
 	graceEnd time.Time
 	loaded   bool
@@ -42,10 +48,13 @@
 		targets:        targets,
 		crashes:        crashes,
 		limits:         o.Limits,
+		versions:       o.Versions,
+		targetsCurrent: o.TargetsCurrent,
 		reconnectGrace: o.ReconnectGrace,
 		entries:        map[string]Entry{},
 		missing:        map[string]time.Time{},
 		displaced:      map[string]bool{},
+		unverified:     map[string]time.Time{},
 	}
 }
 
@@ -69,8 +78,12 @@
 		delete(g.missing, id)
 		delete(g.displaced, id)
 		g.crashes.entrySeen(*e)
-		if old, ok := g.entries[id]; !ok || old != *e {
-			g.logger.Info("target", "target", id, "pool", e.Pool, "address", e.Target.Address, "leaving", e.Leaving, "new", !ok, "born", e.StartedAtMillis, "build", e.Version)
+		old, ok := g.entries[id]
+		if !complete || old != *e { // A listing also has entries that were written before the process ended.
+			delete(g.unverified, id)
+		}
+		if !ok || old != *e {
+			g.logger.Info("target", "target", id, "pool", e.Pool, "address", e.Target.Address, "leaving", e.Leaving, "new", !ok, "born", e.StartedAtMillis, "build", e.Target.Version)
 		}
 		g.entries[id] = *e
 	}
@@ -108,6 +121,7 @@
 	}
 	delete(g.entries, id)
 	delete(g.displaced, id)
+	delete(g.unverified, id)
 	g.logger.Info("target gone", "target", id, "why", reason)
 }
 
@@ -125,6 +139,44 @@
 	g.updateTargets()
 }
 
+// markEnded records that a target's process has ended. Its entry shows the version again once it is written by
+// the next process, or has not lapsed for verifyTime.
+func (g *Registry) markEnded(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	_, marked := g.unverified[id]
+	if _, ok := g.entries[id]; !ok || marked {
+		return
+	}
+	g.unverified[id] = g.timer.Now()
+	g.logger.Info("target unverified", "target", id, "build", g.entries[id].Target.Version)
+	g.updateTargets()
+}
+
+// verifyTime is the time after which a target whose entry has neither changed nor lapsed is still the same
+// process. Entries lapse a few seconds after the last heartbeat.
+const verifyTime = 6 * time.Second
+
+// verify ends the doubt about targets whose entries did not change for long enough.
+func (g *Registry) verify() {
+	current := g.targetsCurrent()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now, changed := g.timer.Now(), false
+	for id, since := range g.unverified {
+		switch {
+		case !current:
+			g.unverified[id] = now
+		case now.Sub(since) >= verifyTime:
+			delete(g.unverified, id)
+			changed = true
+		}
+	}
+	if changed {
+		g.updateTargets()
+	}
+}
+
 // expireMissing removes the missing entries that were not written again in the grace period.
 func (g *Registry) expireMissing() {
 	g.mu.Lock()
@@ -147,23 +199,30 @@
 func (g *Registry) updateTargets() {
 	pools := map[string][]jvconfig.Target{}
 	started := map[string]int64{}
+	versions := map[string][]string{}
 	for id, e := range g.entries {
 		started[id] = e.StartedAtMillis
+		versions[e.Pool] = append(versions[e.Pool], e.Target.Version)
 		if g.displaced[id] {
 			continue
 		}
-		pools[e.Pool] = append(pools[e.Pool], e.Target)
+		target := e.Target
+		if _, ok := g.unverified[id]; ok {
+			target.Version = ""
+		}
+		pools[e.Pool] = append(pools[e.Pool], target)
 	}
 	g.limits.Retain(started)
+	g.versions.Observe(versions)
 	entries := maps.Clone(g.entries)
 	g.targets.SetPools(pools, func(name string) bool { return entries[name].Leaving })
 }
 
-// entry returns a target's entry, or the zero Entry if it has none.
-func (g *Registry) entry(id string) Entry {
+// startedAt returns the start of a target's process by its entry, or 0 if it isn't known.
+func (g *Registry) startedAt(id string) int64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.entries[id]
+	return g.entries[id].StartedAtMillis
 }
 
 // Loaded reports whether the list of targets has been read.
--- a/internal/jvrelay/relay.go
+++ b/internal/jvrelay/relay.go
@@ -28,11 +28,12 @@
 // NewRelay returns a relay without configuration and targets.
 func NewRelay(o Options) *Relay {
 	r := &Relay{options: o, retries: newRetryBudgets(o)}
-	r.targets = jvtarget.NewTableWith(o.Zone, o.Timer, o.Random.Float, o.Weights, o.Limits)
+	r.targets = jvtarget.NewTableWith(o.Zone, o.Timer, o.Random.Float, o.Weights, o.Limits).WithLateDrain(o.LateDrain)
 	r.crashes = newCrashDetector(o)
 	r.registry = newRegistry(o, r.targets, r.crashes)
 	o.Timer.Every(expireInterval, func() {
 		r.registry.expireMissing()
+		r.registry.verify()
 		r.crashes.expire()
 		r.retries.resize()
 	})
--- a/internal/jvrelay/serve.go
+++ b/internal/jvrelay/serve.go
@@ -59,6 +59,9 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, a.deadline)
 	defer cancel()
+	if p := r.bindResumed(ctx, a); p != nil {
+		return p
+	}
 	if total := a.request.Usage.Total(); total > 0 && a.workspace != "" {
 		if _, bounded := r.Prepaid(a.workspace); bounded {
 			return r.handlePrepaid(ctx, a, total)
@@ -143,7 +146,7 @@
 			lease.Release(jvtarget.ResultInconclusive)
 			return quarantined(a, refusal)
 		}
-		a.startAttempt(r.options.Timer.Now(), lease.Target.Name, r.registry.entry(lease.Target.Name))
+		a.startAttempt(r.options.Timer.Now(), lease.Target, r.registry.startedAt(lease.Target.Name))
 		err = r.attempt(ctx, a, lease)
 		if err == nil {
 			return nil
@@ -165,6 +168,8 @@
 		Priority: -a.priority,
 		Avoid:    a.avoid,
 		Deadline: a.deadline,
+		Bound:    a.bound,
+		Version:  a.origin.Version,
 	}
 	// Requests that were running in the same crash are spread over targets, so that the next crash shows
 	// which of them causes it.
@@ -191,13 +196,17 @@
 // not, it returns true and the problem to respond with, or nil if the caller has disconnected.
 func (r *Relay) afterFailure(ctx context.Context, a *activeRequest, lease jvtarget.Lease, err error) (*Problem, bool) {
 	kind := jvfault.KindOf[Kind](err)
-	r.options.Logger.Info("attempt failed", "request", a.request.ID, "target", lease.Target.Name, "build", a.targetVersion, "try", a.attempts,
+	r.options.Logger.Info("attempt failed", "request", a.request.ID, "target", lease.Target.Name, "build", a.version, "try", a.attempts,
 		"digest", a.features.Request.String(), "kind", kind, "cause", err.Error(), "why", lease.Reason, "events", a.eventsForwarded,
 		"attemptms", r.options.Timer.Since(a.attemptStartedAt).Milliseconds())
 	a.avoid = append(a.avoid, lease.Target.Name)
 	switch {
+	case errors.Is(err, ErrConnectionRefused):
+		r.registry.markEnded(lease.Target.Name)
 	case kind == KindBroken:
-		r.crashes.attemptBroke(ctx, a, lease.Target, errors.Is(err, errStalled))
+		if r.crashes.attemptBroke(ctx, a, lease.Target, errors.Is(err, errStalled)) {
+			r.registry.markEnded(lease.Target.Name)
+		}
 	case kind == KindCallerDisconnected && !a.progress: // Callers leave a silent target.
 		r.crashes.attemptBroke(ctx, a, lease.Target, true)
 	}
--- a/internal/jvroute/route.go
+++ b/internal/jvroute/route.go
@@ -1,6 +1,9 @@
 package jvroute
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Kind is the class of a route, which decides whether its requests may run more than once.
 type Kind string
@@ -52,6 +55,18 @@
 	return r.Kind == KindSafe || (r.Kind == KindStream && r.Resumable)
 }
 
+// PoolNames returns the names of the route's pools.
+func (r Route) PoolNames() []string {
+	names := make([]string, len(r.Pools))
+	for n, p := range r.Pools {
+		names[n] = p.Pool
+	}
+	return names
+}
+
+// HasPool reports whether the route may use a pool.
+func (r Route) HasPool(name string) bool { return slices.Contains(r.PoolNames(), name) }
+
 // SelectPool returns the pool for a random number in [0, 1), or "" if the route has none.
 func (r Route) SelectPool(random float64) string {
 	total := 0
--- a/internal/jvtarget/acquire.go
+++ b/internal/jvtarget/acquire.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/jasminevale/jasminevale/internal/jvconfig"
 	"github.com/jasminevale/jasminevale/internal/jvfault"
 )
 
@@ -25,6 +26,18 @@
 	// Avoid names targets on which earlier attempts failed.
 	Avoid    []string
 	Deadline time.Time
+	// Bound restricts the request to targets of a version of the software. If Version is empty, none will do.
+	Bound   bool
+	Version string
+}
+
+// accepts reports whether the request may be sent to a target.
+func (q Request) accepts(g jvconfig.Target) bool {
+	return !slices.Contains(q.Avoid, g.Name) && q.acceptsVersion(g)
+}
+
+func (q Request) acceptsVersion(g jvconfig.Target) bool {
+	return !q.Bound || q.Version != "" && q.Version == g.Version
 }
 
 // Part is a part of a prompt that several requests may share.
@@ -66,7 +79,7 @@
 	if p == nil {
 		return nil, Lease{}, newRefusal(KindNoTarget, minRetryAfter, "there is no pool %s", q.Pool)
 	}
-	if len(p.waiting) == 0 {
+	if !p.waiting.blocks(q) {
 		lease, kind := p.acquire(t, q)
 		if kind == "" {
 			return nil, lease, nil
@@ -75,8 +88,8 @@
 			return nil, Lease{}, p.noTargetError(q)
 		}
 	}
-	ahead := p.waiting.ahead(q.Priority)
-	wait := p.predictWait(t, ahead, q.Avoid)
+	ahead := p.waiting.ahead(q)
+	wait := p.predictWait(t, ahead, q)
 	if left := q.Deadline.Sub(t.timer.Now()); wait > left {
 		return nil, Lease{}, newRefusal(KindOverloaded, wait-left, "%d requests wait ahead, which takes %s of the %s left", ahead, wait, left)
 	}
@@ -86,27 +99,31 @@
 }
 
 func (p *pool) noTargetError(q Request) error {
-	leaving := 0
+	leaving, versions := 0, 0
 	for _, g := range p.targets {
 		if g.leaving {
 			leaving++
 		}
+		if !q.acceptsVersion(g.config) {
+			versions++
+		}
 	}
-	return newRefusal(KindNoTarget, minRetryAfter, "no target of pool %s accepts requests: %d in all, %d leaving, %d avoided after failures", q.Pool, len(p.targets), leaving, len(q.Avoid))
+	return newRefusal(KindNoTarget, minRetryAfter, "no target of pool %s accepts requests: %d in all, %d leaving, %d avoided after failures, %d of other versions than %q",
+		q.Pool, len(p.targets), leaving, len(q.Avoid), versions, q.Version)
 }
 
 // predictWait returns how long a request with others ahead of it waits and runs, from the pool's
 // slots and mean service time, or from the limits of targets if all of them have one.
-func (p *pool) predictWait(t *Table, ahead int, avoid []string) time.Duration {
+func (p *pool) predictWait(t *Table, ahead int, q Request) time.Duration {
 	slots := int64(0)
 	shortest := time.Duration(-1) // Of the waits for targets with a limit.
 	for name, g := range p.targets {
 		wait, limited := t.limiter.Wait(name)
 		switch {
-		case g.leaving:
+		case g.leaving, !q.acceptsVersion(g.config):
 		case !limited:
 			slots += g.config.Slots
-		case !slices.Contains(avoid, name) && (shortest < 0 || wait < shortest):
+		case q.accepts(g.config) && (shortest < 0 || wait < shortest):
 			shortest = wait
 		}
 	}
@@ -140,27 +157,50 @@
 type waitQueue []*waiter
 
 func (l *waitQueue) push(w *waiter) {
-	*l = slices.Insert(*l, l.ahead(w.request.Priority), w)
+	*l = slices.Insert(*l, l.ahead(w.request), w)
 }
 
-// ahead returns the number of waiters that a new one of a priority is queued behind.
-func (l *waitQueue) ahead(priority int) int {
+// ahead returns the number of waiters that a new one is queued behind. Of those with the same priority, the
+// requests that are bound to a version go first: other requests have more targets to choose from.
+func (l *waitQueue) ahead(q Request) int {
 	n := 0
-	for n < len(*l) && (*l)[n].request.Priority >= priority {
+	for n < len(*l) {
+		w := (*l)[n].request
+		if w.Priority < q.Priority || w.Priority == q.Priority && q.Bound && !w.Bound {
+			break
+		}
 		n++
 	}
 	return n
 }
 
+// blocks reports whether a new request has to be queued behind a waiter for the same targets. Waiters that are
+// bound to a version only wait for targets of that version.
+func (l *waitQueue) blocks(q Request) bool {
+	return slices.ContainsFunc(*l, func(w *waiter) bool {
+		return !w.request.Bound || q.Bound && w.request.Version == q.Version
+	})
+}
+
 // wake assigns free slots to waiters in order; t.mu must be held.
 func (p *pool) wake(t *Table) {
-	for len(p.waiting) > 0 {
-		w := p.waiting[0]
+	full := map[string]bool{} // Versions without a free slot.
+	for n := 0; n < len(p.waiting); {
+		w := p.waiting[n]
+		if w.request.Bound && full[w.request.Version] {
+			n++
+			continue
+		}
 		lease, kind := p.acquire(t, w.request)
-		if kind == KindOverloaded {
+		if kind == KindOverloaded && !w.request.Bound {
 			return
 		}
-		p.waiting = p.waiting[1:]
+		if kind == KindOverloaded {
+			full[w.request.Version] = true
+			n++
+			continue
+		}
+		p.waiting = slices.Delete(p.waiting, n, n+1)
 		if kind == KindNoTarget {
 			w.done <- acquired{err: p.noTargetError(w.request)}
 			continue
--- a/internal/jvtarget/table.go
+++ b/internal/jvtarget/table.go
@@ -20,6 +20,8 @@
 	respondedAt time.Time
 	// leaving is true while the VM list or an operator takes the target out of service.
 	leaving bool
+	// leavingSince is when leaving became true, or the zero time if it was true from the start.
+	leavingSince time.Time
 	// missedPolls counts the polls in a row to which the target did not respond.
 	missedPolls int
 	// running are this router's attempts in progress on the target, by attempt ID.
@@ -79,7 +81,9 @@
 	// weights apply to all pools.
 	weights Weights
 	limiter Limiter
-	pools   map[string]*pool
+	// lateDrain is how long a leaving target gets requests that are bound to its version.
+	lateDrain time.Duration
+	pools     map[string]*pool
 	// leavingTargets are the names of the targets that the VM list shows as leaving.
 	leavingTargets map[string]bool
 }
@@ -96,6 +100,15 @@
 	return t
 }
 
+// WithLateDrain makes leaving targets accept requests that are bound to their version and that no other target
+// accepts, for a time after they were seen to leave. It returns the table.
+func (t *Table) WithLateDrain(d time.Duration) *Table {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lateDrain = d
+	return t
+}
+
 // wakeInterval is the interval at which waiting requests try targets whose pause may have ended.
 const wakeInterval = 100 * time.Millisecond
 
@@ -146,12 +159,16 @@
 	for _, g := range targets {
 		named[g.Name] = true
 		state := p.targets[g.Name]
+		wasInService := state != nil && !state.leaving
 		if state == nil || state.config.Address != g.Address {
 			state = &target{running: map[string]*runningAttempt{}}
 			p.targets[g.Name] = state
 		}
 		state.config = g
 		state.leaving = drained(g.Name) || t.leavingTargets[g.Name]
+		if state.leaving && wasInService {
+			state.leavingSince = t.timer.Now()
+		}
 	}
 	for name := range p.targets {
 		if !named[name] {
@@ -209,12 +226,31 @@
 	}
 }
 
-// candidates returns the targets that accept requests now, in order of name.
-func (p *pool) candidates(t *Table, avoid []string) []Candidate {
+// inService reports whether a target accepts a request in view of its leaving. lateOnly is true if the target is
+// leaving and accepts the request since that is bound to its version.
+func (t *Table) inService(g *target, q Request) (accepted, lateOnly bool) {
+	if !g.leaving {
+		return true, false
+	}
+	late := q.Bound && !g.leavingSince.IsZero() && t.timer.Since(g.leavingSince) < t.lateDrain
+	return late, late
+}
+
+// candidates returns the targets that accept a request now, in order of name. Those that are leaving are
+// candidates only if there are no others.
+func (p *pool) candidates(t *Table, q Request) []Candidate {
+	if list := p.candidatesIn(t, q, false); len(list) > 0 || !q.Bound {
+		return list
+	}
+	return p.candidatesIn(t, q, true)
+}
+
+// candidatesIn returns the targets that accept a request now, either those in service or those that are leaving.
+func (p *pool) candidatesIn(t *Table, q Request, leaving bool) []Candidate {
 	now := t.timer.Now()
 	list := make([]Candidate, 0, len(p.targets))
 	for name, g := range p.targets {
-		if g.leaving || !g.health.usable(now) || slices.Contains(avoid, name) {
+		if accepted, late := t.inService(g, q); !accepted || late != leaving || !g.health.usable(now) || !q.accepts(g.config) {
 			continue
 		}
 		if wait, limited := t.limiter.Wait(name); limited && wait > 0 {
@@ -237,9 +273,9 @@
 }
 
 // worthWaiting reports whether requests should wait for a target of the pool.
-func (p *pool) worthWaiting(avoid []string) bool {
-	for name, g := range p.targets {
-		if !g.leaving && g.health.worthWaiting() && !slices.Contains(avoid, name) {
+func (p *pool) worthWaiting(t *Table, q Request) bool {
+	for _, g := range p.targets {
+		if accepted, _ := t.inService(g, q); accepted && g.health.worthWaiting() && q.accepts(g.config) {
 			return true
 		}
 	}
@@ -248,8 +284,8 @@
 
 // acquire returns a slot, or the kind of refusal if there is none.
 func (p *pool) acquire(t *Table, q Request) (Lease, Kind) {
-	list := p.candidates(t, q.Avoid)
-	if len(list) == 0 && !p.worthWaiting(q.Avoid) {
+	list := p.candidates(t, q)
+	if len(list) == 0 && !p.worthWaiting(t, q) {
 		return Lease{}, KindNoTarget
 	}
 	if len(list) == 0 {
--- a/internal/jvtarget/table_test.go
+++ b/internal/jvtarget/table_test.go
@@ -101,7 +101,7 @@
 	catalog, err := jvconfig.NewCatalog().With(1, jvrecord.Item{Kind: jvrecord.ItemPool, Name: "e", Body: []byte(body)})
 	require.NoError(t, err)
 	table.Configure(catalog)
-	usable := func() bool { return len(table.pools["e"].candidates(table, nil)) == 1 }
+	usable := func() bool { return len(table.pools["e"].candidates(table, Request{})) == 1 }
 	require.True(t, usable())
 	table.RecordMissedPoll("e", "e1")
 	require.True(t, usable())
--- /dev/null
+++ b/internal/jvversion/versions_test.go
@@ -0,0 +1,277 @@
+package jvversion
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/jasminevale/jasminevale/internal/jvcodec"
+	"github.com/jasminevale/jasminevale/internal/jvproperty"
+)
+
+// TestOneVersionNeedsNoMessages guards against messages and records for each stream where all targets have one
+// version: then any router knows where a stream began, also one that has just started.
+func TestOneVersionNeedsNoMessages(t *testing.T) {
+	inFleet(t, 6, "", func(f *fleet) {
+		s, _ := f.begin(f.routers[0])
+		f.kill(f.routers[0])
+		f.join()
+		f.pass(time.Second)
+		appends, _ := f.topic.Calls()
+		for _, r := range f.routers[1:] {
+			require.Equal(t, "v1", f.resume(r, s))
+			require.Zero(t, r.streams.Len())
+		}
+		f.pass(10 * time.Second)
+		after, _ := f.topic.Calls()
+		require.Equal(t, appends, after)
+	})
+}
+
+// TestVersionsOfKilledRouters guards against refusing streams whose router has been killed (incident ORDER, issue
+// 24): in fleets of 6 and 83 routers with several versions, 99 in 100 of them are known elsewhere.
+func TestVersionsOfKilledRouters(t *testing.T) {
+	for _, routers := range []int{6, 83} {
+		t.Run(fmt.Sprint(routers), func(t *testing.T) {
+			inFleet(t, routers, "", func(f *fleet) {
+				f.lost = 0.01
+				f.versions = []string{"v1", "v2"}
+				f.pass(time.Second)
+				const streams = 200
+				known := 0
+				for n := range streams {
+					r := f.routers[n%routers]
+					s, _ := f.begin(r)
+					f.pass(10 * time.Millisecond)
+					f.kill(r)
+					version := f.resume(f.routers[(n+1+int(f.random.Float()*float64(routers-1)))%routers], s)
+					if version != "" {
+						known++
+						require.Equal(t, s.version, version)
+					}
+					f.start(r)
+				}
+				require.GreaterOrEqual(t, known, streams*99/100)
+			})
+		})
+	}
+}
+
+// TestStreamsBeforeTheSecondVersion guards against refusing streams that began while their pool had one version,
+// and are resumed after another one came or while the store is away.
+func TestStreamsBeforeTheSecondVersion(t *testing.T) {
+	for _, storeAway := range []bool{false, true} {
+		inFleet(t, 6, "", func(f *fleet) {
+			s, _ := f.begin(f.routers[0])
+			f.pass(time.Second)
+			f.versions = []string{"v2"}
+			for _, r := range f.routers {
+				r.storeAway = storeAway
+			}
+			f.pass(2 * time.Second)
+			f.kill(f.routers[0])
+			for _, r := range f.routers[1:] {
+				require.Equal(t, "v1", f.resume(r, s))
+			}
+		})
+	}
+}
+
+// TestRouterWithoutStoreGuessesNothing guards against a router that is cut off from store and routers and takes the
+// one version that it knows for the only one.
+func TestRouterWithoutStoreGuessesNothing(t *testing.T) {
+	inFleet(t, 6, "", func(f *fleet) {
+		r := f.routers[0]
+		r.storeAway, r.cut = true, true
+		f.pass(2 * time.Second)
+		f.versions = []string{"v2"}
+		f.pass(time.Second)
+		s, _ := f.begin(f.routers[1])
+		began := f.timer.Now()
+		require.Empty(t, f.resume(r, s))
+		require.LessOrEqual(t, f.timer.Since(began), maxSends*resendInterval)
+		r.cut = false // Others that reach the store answer.
+		require.Equal(t, "v2", f.resume(r, s))
+	})
+}
+
+// TestVersionsEnd checks that a version without targets counts for the window and is then removed from the topic,
+// by one router or a few.
+func TestVersionsEnd(t *testing.T) {
+	inFleet(t, 83, "", func(f *fleet) {
+		f.versions = []string{"v1", "v2"}
+		f.pass(time.Second)
+		f.versions = []string{"v2"}
+		f.pass(55 * time.Second)
+		_, single := f.routers[0].history.only([]string{pool})
+		require.False(t, single)
+		appends, _ := f.topic.Calls()
+		f.pass(20 * time.Second)
+		for _, r := range f.routers {
+			version, single := r.history.only([]string{pool})
+			require.True(t, single)
+			require.Equal(t, "v2", version)
+		}
+		after, _ := f.topic.Calls()
+		require.LessOrEqual(t, after-appends, 10)
+		require.Len(t, f.topic.Newest(), 1)
+	})
+}
+
+// TestPools checks that a stream of a route with several pools goes on in its own pool, unless all pools have the
+// same version only.
+func TestPools(t *testing.T) {
+	inFleet(t, 2, "", func(f *fleet) {
+		pools := []string{pool, "q"}
+		find := func(r *router, request string) (Origin, Source) { return r.Find(context.Background(), pools, request) }
+		_, source := find(f.routers[0], "other")
+		require.Equal(t, SourceNone, source, "pool q has no targets")
+		r := f.routers[0]
+		r.Observe(map[string][]string{pool: {"v1"}, "q": {"v1", "v1"}})
+		o, source := find(r, "other")
+		require.Equal(t, SourceOnly, source)
+		require.Equal(t, Origin{Version: "v1"}, o)
+		r.Observe(map[string][]string{pool: {"v1"}, "q": {"v1", ""}})
+		_, source = find(r, "other")
+		require.Equal(t, SourceNone, source)
+		r.Begin("own", Origin{Pool: "q", Version: "v1"})
+		r.Begin("nameless", Origin{Pool: "q"})
+		o, source = find(r, "own")
+		require.Equal(t, SourceOwn, source)
+		require.Equal(t, Origin{Pool: "q", Version: "v1"}, o)
+		_, source = find(r, "nameless")
+		require.Equal(t, SourceNone, source)
+		_, source = find(r, "")
+		require.Equal(t, SourceNone, source)
+	})
+}
+
+// versionEvent is a disturbance of a history.
+type versionEvent struct {
+	Kind   int
+	Router int
+}
+
+// play plays an event.
+func (f *fleet) play(e versionEvent) {
+	r := f.routers[e.Router%len(f.routers)]
+	switch e.Kind {
+	case 0:
+		f.kill(r)
+	case 1:
+		for _, r := range f.routers {
+			if r.down {
+				f.start(r)
+			}
+		}
+	case 2:
+		r.storeAway = true
+	case 3:
+		for _, r := range f.routers {
+			r.storeAway, r.cut = false, false
+		}
+	case 4:
+		r.cut = true
+	case 5:
+		f.join()
+	case 6:
+		f.versions = append(f.versions, fmt.Sprint("v", 1+e.Router%4))
+	case 7:
+		f.versions = []string{fmt.Sprint("v", 1+e.Router%4)}
+	case 8:
+		for _, r := range f.routers {
+			r.storeAway = true
+		}
+	}
+}
+
+// runHistory plays events while streams begin and are resumed, and returns the first stream that goes on at
+// another version than its own, or "".
+func runHistory(t *testing.T, routers int, mutant string, lost float64, events []versionEvent) (violation string) {
+	const maxStreams = 40
+	inFleet(t, routers, mutant, func(f *fleet) {
+		f.lost = lost
+		var streams []stream
+		anyRouter := func() *router { return f.routers[int(f.random.Float()*float64(len(f.routers)))] }
+		for _, e := range events {
+			f.play(e)
+			for range 5 {
+				f.pass(300 * time.Millisecond)
+				for range 3 {
+					if s, ok := f.begin(anyRouter()); ok {
+						streams = append(streams, s)
+					}
+				}
+				streams = streams[max(0, len(streams)-maxStreams):]
+				for range 3 {
+					r := anyRouter()
+					if r.down || len(streams) == 0 {
+						continue
+					}
+					s := streams[int(f.random.Float()*float64(len(streams)))]
+					if version := f.resume(r, s); violation == "" && version != "" && version != s.version && f.timer.Since(s.at) < f.routers[0].options.StreamLifetime {
+						violation = fmt.Sprintf("%s began at %s and goes on at %s at %s", s.request, s.version, version, r.member.Name)
+					}
+				}
+			}
+		}
+	})
+	return violation
+}
+
+func drawEvents(t *rapid.T) []versionEvent {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) versionEvent {
+		return versionEvent{Kind: rapid.IntRange(-1, 8).Draw(t, "kind"), Router: rapid.IntRange(0, 100).Draw(t, "router")}
+	}), 4, 16).Draw(t, "events")
+}
+
+func versionsProperty(t *testing.T, routers int, mutant string) func(*rapid.T) {
+	return func(rt *rapid.T) {
+		require.Empty(rt, runHistory(t, routers, mutant, rapid.Float64Range(0, 0.3).Draw(rt, "lost"), drawEvents(rt)))
+	}
+}
+
+// TestVersionHistories guards against histories in which a stream goes on at another version (incident ORDER, issue
+// 24): versions come and go, routers are killed, start, join and are cut off from the store and from each
+// other, and messages are lost.
+func TestVersionHistories(t *testing.T) {
+	jvproperty.CheckSlow(t, versionsProperty(t, 6, ""))
+}
+
+// TestVersionHistoriesOfManyRouters plays a few such histories with the largest fleet of the deployments.
+func TestVersionHistoriesOfManyRouters(t *testing.T) {
+	jvproperty.CheckFraction(t, 50, versionsProperty(t, 83, ""))
+}
+
+// TestVersionMutants checks that the histories detect a router that guesses, and one that trusts a list of targets
+// that it can't read any more.
+func TestVersionMutants(t *testing.T) {
+	for _, mutant := range []string{mutantGuess, mutantStale} {
+		failed, _ := jvproperty.CheckFails(t, versionsProperty(t, 6, mutant))
+		require.True(t, failed, mutant)
+	}
+}
+
+// FuzzReceive guards against messages that end the process or are kept although they are malformed.
+func FuzzReceive(f *testing.F) {
+	f.Add(jvcodec.Encode(message{Begun: []begun{{Request: "r", Origin: Origin{Pool: "p", Version: "v1"}}}}))
+	f.Add(jvcodec.Encode(message{Question: &question{Number: 1, Request: "r", Pools: []string{"p"}}}))
+	f.Add(jvcodec.Encode(message{Answer: &answer{Number: 1, From: "other", Known: true, Origin: Origin{Version: "v1"}}}))
+	f.Add([]byte{0xff})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := decodeMessage(data)
+		if err != nil {
+			return
+		}
+		require.LessOrEqual(t, len(m.Begun), maxBegun)
+		for _, b := range m.Begun {
+			require.NotEmpty(t, b.Request)
+			require.NotEmpty(t, b.Version)
+		}
+		_, _ = decodeRecord(data)
+	})
+}
