--- a/internal/jvtarget/acquire.go
+++ b/internal/jvtarget/acquire.go
@@ -85,7 +85,7 @@
 			return nil, lease, nil
 		}
 		if kind == KindNoTarget {
-			return nil, Lease{}, p.noTargetError(q)
+			return nil, Lease{}, p.noTargetError(t, q)
 		}
 	}
 	ahead := p.waiting.ahead(q)
@@ -98,8 +98,9 @@
 	return w, Lease{}, nil
 }
 
-func (p *pool) noTargetError(q Request) error {
-	leaving, versions := 0, 0
+func (p *pool) noTargetError(t *Table, q Request) error {
+	leaving, versions, paused := 0, 0, 0
+	now := t.timer.Now()
 	for _, g := range p.targets {
 		if g.leaving {
 			leaving++
@@ -107,9 +108,12 @@
 		if !q.acceptsVersion(g.config) {
 			versions++
 		}
+		if !g.health.usable(now) {
+			paused++
+		}
 	}
-	return newRefusal(KindNoTarget, minRetryAfter, "no target of pool %s accepts requests: %d in all, %d leaving, %d avoided after failures, %d of other versions than %q",
-		q.Pool, len(p.targets), leaving, len(q.Avoid), versions, q.Version)
+	return newRefusal(KindNoTarget, minRetryAfter, "no target of pool %s accepts requests: %d in all, %d leaving, %d paused, %d avoided after failures, %d of other versions than %q",
+		q.Pool, len(p.targets), leaving, paused, len(q.Avoid), versions, q.Version)
 }
 
 // predictWait returns how long a request with others ahead of it waits and runs, from the pool's
@@ -202,7 +206,7 @@
 		}
 		p.waiting = slices.Delete(p.waiting, n, n+1)
 		if kind == KindNoTarget {
-			w.done <- acquired{err: p.noTargetError(w.request)}
+			w.done <- acquired{err: p.noTargetError(t, w.request)}
 			continue
 		}
 		w.done <- acquired{lease: lease}
--- a/internal/jvtarget/view.go
+++ b/internal/jvtarget/view.go
@@ -30,6 +30,21 @@
 	MeanServiceSeconds float64 `json:"service"`
 }
 
+// CountPaused returns the number of targets in service that are not selected after failures.
+func (t *Table) CountPaused() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now, n := t.timer.Now(), 0
+	for _, p := range t.pools {
+		for _, g := range p.targets {
+			if !g.leaving && !g.health.usable(now) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // Views returns a copy of the table's state for the dump, by pool.
 func (t *Table) Views() map[string]PoolView {
 	t.mu.Lock()
