--- /dev/null
+++ b/internal/jvforward/server.go
@@ -0,0 +1,147 @@
+package jvforward
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"io"
+	"net/http"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+
+	"github.com/go-logr/logr"
+
+	"github.com/jasminevale/jasminevale/internal/jvcodec"
+	"github.com/jasminevale/jasminevale/internal/jvfault"
+	"github.com/jasminevale/jasminevale/internal/jvrelay"
+)
+
+const (
+	// maxNonces is the number of received messages that are remembered, so that none of them counts twice.
+	maxNonces = 1 << 12
+	// headTimeout bounds how long a connection may take to send a head, before it is authenticated.
+	headTimeout = 2 * time.Second
+	// copyBytes is the size of the buffer through which a body passes.
+	copyBytes = 4 << 10
+)
+
+// Server makes the attempts of other routers. It implements http.Handler.
+type Server struct {
+	name         string
+	signer       Signer
+	maxBodyBytes func() int64
+	serve        func(ctx context.Context, d jvrelay.Dispatch, from string) (*jvrelay.Response, error)
+	now          func() time.Time
+	logger       logr.Logger
+	// nonces are those of the latest messages.
+	nonces *lru.Cache[string, struct{}]
+}
+
+// ServerOptions configure a Server.
+type ServerOptions struct {
+	// Name is this router's name.
+	Name   string
+	Signer Signer
+	// MaxBodyBytes returns the limit of callers' bodies.
+	MaxBodyBytes func() int64
+	// Serve makes an attempt for another router.
+	Serve func(ctx context.Context, d jvrelay.Dispatch, from string) (*jvrelay.Response, error)
+	// Now returns the current time.
+	Now    func() time.Time
+	Logger logr.Logger
+}
+
+// NewServer returns a server.
+func NewServer(o ServerOptions) *Server {
+	nonces, err := lru.New[string, struct{}](maxNonces)
+	if err != nil {
+		panic(err) // maxNonces is positive.
+	}
+	return &Server{name: o.Name, signer: o.Signer, maxBodyBytes: o.MaxBodyBytes, serve: o.Serve, now: o.Now, logger: o.Logger, nonces: nonces}
+}
+
+// ServeHTTP implements http.Handler. What is not a message of this fleet gets no response.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(s.now().Add(headTimeout)) // If deadlines aren't supported, a stranger keeps its connection longer.
+	head, body, err := s.receive(r)
+	if err != nil {
+		s.logger.Info("message of another router dropped", "from", r.RemoteAddr, "cause", err.Error())
+		panic(http.ErrAbortHandler)
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	response, err := s.serve(r.Context(), head.dispatch(body), head.From)
+	if err != nil {
+		kind := jvfault.KindOf[jvrelay.Kind](err)
+		if kind == "" {
+			kind = jvrelay.KindBroken
+		}
+		_, _ = w.Write(encodeHead(responseHead{Kind: string(kind), Cause: err.Error()})) // A write error means that the other router has left.
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	if _, err := w.Write(encodeHead(newResponseHead(response))); err != nil {
+		return
+	}
+	if !copyBody(w, control, response.Body) {
+		panic(http.ErrAbortHandler) // The other router must not take the body for complete.
+	}
+}
+
+// receive reads and authenticates an attempt.
+func (s *Server) receive(r *http.Request) (head attemptHead, body []byte, err error) {
+	const op = "receive attempt"
+	if r.Method != http.MethodPost || r.URL.Path != path {
+		return head, nil, jvfault.Newf(op, KindForged, "%s %s", r.Method, r.URL.Path)
+	}
+	data, err := readHead(r.Body)
+	if err != nil {
+		return head, nil, err
+	}
+	if !s.signer.Verify(data, r.Header.Get(tagHeader)) {
+		return head, nil, jvfault.Newf(op, KindForged, "the tag is wrong")
+	}
+	if head, err = jvcodec.Decode[attemptHead](data); err != nil {
+		return head, nil, jvfault.New(op, KindMalformed, err)
+	}
+	if err := head.check(); err != nil {
+		return head, nil, err
+	}
+	if seen, _ := s.nonces.ContainsOrAdd(head.From+" "+head.Nonce, struct{}{}); seen || head.To != s.name {
+		return head, nil, jvfault.Newf(op, KindForged, "the message is for %q, or was received before", head.To)
+	}
+	body, err = io.ReadAll(io.LimitReader(r.Body, s.maxBodyBytes()+1))
+	if err != nil {
+		return head, nil, jvfault.New(op, KindMalformed, err)
+	}
+	if int64(len(body)) > s.maxBodyBytes() {
+		return head, nil, jvfault.Newf(op, KindMalformed, "a body of over %d bytes", s.maxBodyBytes())
+	}
+	if hash := sha256.Sum256(body); !bytes.Equal(hash[:], head.BodyHash) {
+		return head, nil, jvfault.Newf(op, KindForged, "the body is another one")
+	}
+	return head, body, nil
+}
+
+// copyBody passes a body on as it arrives, and reports whether it is complete.
+func copyBody(w io.Writer, control *http.ResponseController, body io.Reader) bool {
+	buffer := make([]byte, copyBytes)
+	for {
+		if control.Flush() != nil {
+			return false
+		}
+		n, err := body.Read(buffer)
+		if n > 0 {
+			if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
+				return false
+			}
+		}
+		switch {
+		case err == io.EOF:
+			return true
+		case err != nil:
+			return false
+		}
+	}
+}
--- a/internal/jvmember/seal.go
+++ b/internal/jvmember/seal.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/hmac"
 	"crypto/sha256"
+	"encoding/hex"
 
 	"github.com/jasminevale/jasminevale/internal/jvfault"
 )
@@ -25,7 +26,26 @@
 }
 
 // Purposes of tags.
-const purposePacket = "packet"
+const (
+	purposePacket  = "packet"
+	purposeMessage = "message"
+)
+
+// Sign returns the tag of a message, and false if this router does not know the secret yet.
+func (m *Members) Sign(message []byte) (string, bool) {
+	secret := m.currentSecret()
+	if secret == nil {
+		return "", false
+	}
+	return hex.EncodeToString(tag(secret, purposeMessage, message)), true
+}
+
+// Verify reports whether a router of this fleet has signed a message with a tag.
+func (m *Members) Verify(message []byte, given string) bool {
+	secret := m.currentSecret()
+	decoded, err := hex.DecodeString(given)
+	return err == nil && secret != nil && hmac.Equal(decoded, tag(secret, purposeMessage, message))
+}
 
 // Seal returns a payload as an authenticated packet, or false if this router does not know the secret yet.
 func (m *Members) Seal(payload []byte) ([]byte, bool) {
--- a/internal/jvmeter/relay.go
+++ b/internal/jvmeter/relay.go
@@ -50,6 +50,12 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("jv_relay_resumptions_total{pool=%q,source=%q}", pool, source)).Inc()
 }
 
+// CountForwarded counts an attempt that another router makes for this one ("out") or that this one makes for
+// another one ("in"), by kind of failure.
+func (m *Relay) CountForwarded(direction, kind string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("jv_relay_forwarded_total{direction=%q,failure=%q}", direction, kind)).Inc()
+}
+
 // CountCrash counts an attempt during which its target ended, by pool and by what shows it.
 func (m *Relay) CountCrash(pool, evidence string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("jv_relay_crashes_total{pool=%q,evidence=%q}", pool, evidence)).Inc()
--- /dev/null
+++ b/internal/jvreach/options.go
@@ -0,0 +1,97 @@
+package jvreach
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/jasminevale/jasminevale/internal/jvmember"
+	"github.com/jasminevale/jasminevale/internal/jvtimer"
+)
+
+// Target is a target with its address.
+type Target struct {
+	Name    string
+	Address string
+}
+
+// Options configure a Monitor.
+type Options struct {
+	Timer  *jvtimer.Service
+	Logger logr.Logger
+	// Random returns a number in [0, 1).
+	Random func() float64
+	// Self is this router. Others returns the other routers of the fleet.
+	Self   jvmember.Member
+	Others func() []jvmember.Member
+	// Send sends a message to another router; it may be lost.
+	Send func(to jvmember.Member, message []byte)
+	// Connect opens a connection to a target and closes it. It returns false if the target's machine refuses
+	// connections or does not respond.
+	Connect func(ctx context.Context, t Target) bool
+	// Targets returns all targets in service.
+	Targets func() []Target
+	// StoreReachable reports whether this router reaches the store.
+	StoreReachable func() bool
+	// Room returns how many more requests this router takes from others; 0 means none.
+	Room func() int64
+	// Changed is called when targets have become unreachable, or are reachable again, which recovered lists.
+	Changed func(recovered []string)
+}
+
+// DefaultOptions returns options without parts.
+func DefaultOptions() Options {
+	return Options{
+		Logger:         logr.Discard(),
+		Others:         func() []jvmember.Member { return nil },
+		Send:           func(jvmember.Member, []byte) {},
+		Targets:        func() []Target { return nil },
+		StoreReachable: func() bool { return true },
+		Room:           func() int64 { return 0 },
+		Changed:        func([]string) {},
+	}
+}
+
+const (
+	// connectTimeout is many round trips between zones, and shorter than the time after which a lost SYN
+	// is sent again.
+	connectTimeout = 250 * time.Millisecond
+	// answerTimeout is how long other routers take to connect and to answer.
+	answerTimeout = connectTimeout + 100*time.Millisecond
+	// A check connects to sampleSuspects targets to which connections failed, and to sampleOthers others, so
+	// that a few failed targets don't look like a cut. askedRouters are asked for those that it can't reach.
+	sampleSuspects = 6
+	sampleOthers   = 3
+	askedRouters   = 3
+	// contactTime is the time in which a busy router has a response of some target, contactWait how long a
+	// question about that waits for answers.
+	contactTime = 100 * time.Millisecond
+	contactWait = 60 * time.Millisecond
+	// maxProbed limits the targets of a question.
+	maxProbed = 16
+	// silenceTime is how long all targets have to be silent, while attempts are in progress, for a check.
+	silenceTime = 300 * time.Millisecond
+	// checkInterval is the interval at which silence is looked for.
+	checkInterval = 100 * time.Millisecond
+	// checkPause is the time from a check that found nothing to the next one, which has to find a cut within
+	// a second.
+	checkPause = 600 * time.Millisecond
+	// failureAge is how long a failed connection counts as a sign of a cut, and minFailures the number of
+	// targets from which on a check is made.
+	failureAge  = time.Second
+	minFailures = 2
+	// retryInterval is the interval at which unreachable targets are tried, retryTargets the number of those
+	// that are tried at a time.
+	retryInterval = 200 * time.Millisecond
+	retryTargets  = 3
+	// statusInterval is the time between two questions for the state of the other routers while targets are
+	// unreachable, statusAge how long an answer counts.
+	statusInterval = 250 * time.Millisecond
+	statusAge      = time.Second
+	// peerPause is how long a router that failed or refused a request gets no other one.
+	peerPause = 500 * time.Millisecond
+	// strandedTime is how long a cut router may know of no other router that takes its requests before it
+	// is stranded.
+	strandedTime = time.Second
+)
--- a/internal/jvrelay/active.go
+++ b/internal/jvrelay/active.go
@@ -43,8 +43,15 @@
 	// origin is where the caller's stream began, once that is certain: bound is true then.
 	origin jvversion.Origin
 	bound  bool
-	// avoid are the names of the targets on which attempts failed.
-	avoid []string
+	// avoid are the names of the targets on which attempts failed, failed are those among them that were sent
+	// the request.
+	avoid  []string
+	failed []string
+	// unsent counts the attempts of this router that reached no target, peers are the routers through which
+	// attempts failed, and via is the router of the latest attempt, if it is another one.
+	unsent int
+	peers  []string
+	via    string
 	// target is the name of the latest attempt's target.
 	target string
 	// reserveWait is the time from the request's arrival until Reserve returned.
@@ -74,13 +81,19 @@
 }
 
 // startAttempt records the beginning of an attempt.
-func (a *activeRequest) startAttempt(now time.Time, target jvconfig.Target, targetStartedAt int64) {
+func (a *activeRequest) startAttempt(now time.Time, t try) {
 	a.attempts++
 	a.attemptStartedAt = now
 	a.progress = false
-	a.target = target.Name
-	a.targetStartedAt = targetStartedAt
-	a.version = target.Version
+	a.via = t.peer.Name
+	a.setTarget(t.lease.Target, 0) // Another router names the target with its response.
+}
+
+// setTarget records the target of the latest attempt, and the start of its process.
+func (a *activeRequest) setTarget(t jvconfig.Target, startedAtMillis int64) {
+	a.target = t.Name
+	a.version = t.Version
+	a.targetStartedAt = startedAtMillis
 }
 
 // resumeAfter returns the ID of the event after which the next attempt resumes the stream.
--- a/internal/jvrelay/attempt.go
+++ b/internal/jvrelay/attempt.go
@@ -9,45 +9,109 @@
 
 	"github.com/jasminevale/jasminevale/internal/jvfault"
 	"github.com/jasminevale/jasminevale/internal/jvmemory"
+	"github.com/jasminevale/jasminevale/internal/jvreach"
 	"github.com/jasminevale/jasminevale/internal/jvroute"
 	"github.com/jasminevale/jasminevale/internal/jvtarget"
 )
 
 // attempt sends the request to one target and forwards its response.
 func (r *Relay) attempt(ctx context.Context, a *activeRequest, lease jvtarget.Lease) (err error) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	stall := r.startStallTimer(a, func() {
+	ctx, stop, stall := r.startAttempt(ctx, a)
+	defer stop()
+	defer func() {
+		r.countAttempt(a, err)
+		lease.Release(resultOf(err))
+	}()
+	d := r.newDispatch(a)
+	d.Target = lease.Target
+	response, err := r.send(ctx, a, d)
+	if err != nil {
+		return r.classify(ctx, err)
+	}
+	return r.deliver(ctx, a, response, stall)
+}
+
+// startAttempt starts the timer of an attempt that stalls. stop ends the timer and the returned context.
+func (r *Relay) startAttempt(ctx context.Context, a *activeRequest) (attempt context.Context, stop func(), stall stallTimer) {
+	attempt, cancel := context.WithCancelCause(ctx)
+	stall = r.startStallTimer(a, func() {
 		if r.retries.budget(a.pool).Spend() { // Canceling a stalled attempt only helps if another one may follow.
 			cancel(errStalled)
 		}
 	})
-	defer stall.stop()
-	defer func() {
-		r.options.Meter.CountAttempt(a.pool, string(jvfault.KindOf[Kind](err)))
-		r.options.Meter.CountVersionAttempt(a.pool, a.version, a.resumeAfter() != "")
-		lease.Release(resultOf(err))
-	}()
-	response, err := r.options.Sender.Send(ctx, Dispatch{
+	return attempt, func() {
+		stall.stop()
+		cancel(nil)
+	}, stall
+}
+
+func (r *Relay) countAttempt(a *activeRequest, err error) {
+	r.options.Meter.CountAttempt(a.pool, string(jvfault.KindOf[Kind](err)))
+	r.options.Meter.CountVersionAttempt(a.pool, a.version, a.resumeAfter() != "")
+}
+
+// newDispatch returns the next attempt of a request without its target.
+func (r *Relay) newDispatch(a *activeRequest) Dispatch {
+	return Dispatch{
 		Request:       a.request,
-		Target:        lease.Target,
 		Workspace:     a.workspace,
 		Timeout:       a.deadline.Sub(r.options.Timer.Now()),
 		Priority:      a.priority,
 		LastEventID:   a.resumeAfter(),
 		NewConnection: !a.route.Repeatable(),
-	})
+	}
+}
+
+// send sends an attempt to its target and records what the response says about the target. The body of the
+// response must be closed.
+func (r *Relay) send(ctx context.Context, a *activeRequest, d Dispatch) (*Response, error) {
+	r.options.Reach.Begin()
+	response, err := r.options.Sender.Send(ctx, d)
 	if err != nil {
-		return r.classify(ctx, err)
+		r.options.Reach.End()
+		return nil, err
 	}
-	defer func() { _ = response.Body.Close() }()
+	response.Body = &contactBody{ReadCloser: response.Body, reach: r.options.Reach}
+	r.options.Reach.Contact()
 	if response.Load != nil {
-		r.targets.RecordLoad(a.pool, lease.Target.Name, *response.Load)
+		r.targets.RecordLoad(a.pool, d.Target.Name, *response.Load)
 	}
 	r.hearLimit(a, response)
 	if response.WrongInstance {
-		r.registry.markDisplaced(lease.Target.Name)
+		r.registry.markDisplaced(d.Target.Name)
+	}
+	return response, nil
+}
+
+// contactBody is the body of a target's response, each part of which shows that this router reaches targets.
+type contactBody struct {
+	io.ReadCloser
+
+	reach  *jvreach.Monitor
+	closed bool
+}
+
+// Read implements io.Reader.
+func (b *contactBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if n > 0 {
+		b.reach.Contact()
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *contactBody) Close() error {
+	if !b.closed {
+		b.closed = true
+		b.reach.End()
 	}
+	return b.ReadCloser.Close()
+}
+
+// deliver forwards a target's response to the caller.
+func (r *Relay) deliver(ctx context.Context, a *activeRequest, response *Response, stall stallTimer) error {
+	defer func() { _ = response.Body.Close() }()
 	switch {
 	case response.Refused:
 		return jvfault.Newf("attempt", KindRefused, "the target answered %d and did not run it", response.Status)
--- a/internal/jvrelay/crashes.go
+++ b/internal/jvrelay/crashes.go
@@ -9,6 +9,7 @@
 
 	"github.com/jasminevale/jasminevale/internal/jvconfig"
 	"github.com/jasminevale/jasminevale/internal/jvquarantine"
+	"github.com/jasminevale/jasminevale/internal/jvreach"
 )
 
 // evidence is what shows that a target's process has ended.
@@ -81,7 +82,8 @@
 		Target: t.Name, StartedAtMillis: a.targetStartedAt, SentAt: a.attemptStartedAt, EndedAt: d.options.Timer.Now(), Progress: a.progress,
 	}}
 	if !silent && ctx.Err() == nil {
-		if e := d.probe(ctx, t); e != "" {
+		// A cut of this router's own link looks the same.
+		if e := d.probe(ctx, t); e != "" && d.options.Reach.Down(jvreach.Target{Name: t.Name, Address: t.Address}) {
 			d.report(b, e)
 			return true
 		}
--- a/internal/jvrelay/dump.go
+++ b/internal/jvrelay/dump.go
@@ -27,6 +27,8 @@
 	// Versions are the versions of targets, Members the other routers of the fleet.
 	Versions any `json:"versions"`
 	Members  any `json:"members"`
+	// Reach are the targets that only other routers reach, and the routers through which requests go.
+	Reach any `json:"reach"`
 	// Quarantine are the requests that were running when targets ended.
 	Quarantine any `json:"quarantine"`
 	Settings   any `json:"settings"`
@@ -34,7 +36,7 @@
 
 // Dump returns the relay's state.
 func (r *Relay) Dump() Dump {
-	d := Dump{At: r.options.Timer.Now(), Active: r.Active(), Pools: r.targets.Views(), Retries: r.retries.saved(), Routers: r.retries.fleetSize()}
+	d := Dump{At: r.options.Timer.Now(), Active: r.Active(), Pools: r.targets.Views(), Retries: r.retries.saved(), Routers: r.retries.fleetSize(), Reach: r.options.Reach.Dump()}
 	_, d.NotReadyReason = r.Ready()
 	if t := r.table.Load(); t != nil {
 		d.Version = t.Version()
@@ -53,6 +55,7 @@
 		return 0
 	})
 	r.options.Meter.Gauge("jv_relay_paused_targets", func() float64 { return float64(r.targets.CountPaused()) })
+	r.options.Meter.Gauge("jv_relay_unreachable_targets", func() float64 { return float64(r.options.Reach.Count()) })
 	r.options.Meter.Gauge("jv_relay_limited_targets", func() float64 { return float64(r.options.Limits.Count()) })
 	r.options.Meter.Gauge("jv_relay_config_version", func() float64 {
 		if t := r.table.Load(); t != nil {
--- a/internal/jvrelay/fake_test.go
+++ b/internal/jvrelay/fake_test.go
@@ -20,6 +20,7 @@
 	"github.com/jasminevale/jasminevale/internal/jvgrant"
 	"github.com/jasminevale/jasminevale/internal/jvlimit"
 	"github.com/jasminevale/jasminevale/internal/jvquarantine"
+	"github.com/jasminevale/jasminevale/internal/jvreach"
 	"github.com/jasminevale/jasminevale/internal/jvroute"
 	"github.com/jasminevale/jasminevale/internal/jvtimer"
 	"github.com/jasminevale/jasminevale/internal/jvversion"
@@ -232,6 +233,10 @@
 	o.Limits = jvlimit.New(limits)
 	s.versions = &versionsFake{only: "v1", byRequest: map[string]jvversion.Origin{}, begun: map[string]jvversion.Origin{}}
 	o.Versions = s.versions
+	reach := jvreach.DefaultOptions()
+	reach.Timer = timer
+	reach.Random = o.Random.Float
+	o.Reach = jvreach.New(reach)
 	change(&o)
 	s.relay = NewRelay(o)
 	s.relay.Configure(table(1))
--- a/internal/jvrelay/options.go
+++ b/internal/jvrelay/options.go
@@ -11,6 +11,7 @@
 	"github.com/jasminevale/jasminevale/internal/jvmemory"
 	"github.com/jasminevale/jasminevale/internal/jvmeter"
 	"github.com/jasminevale/jasminevale/internal/jvquarantine"
+	"github.com/jasminevale/jasminevale/internal/jvreach"
 	"github.com/jasminevale/jasminevale/internal/jvtarget"
 	"github.com/jasminevale/jasminevale/internal/jvtimer"
 	"github.com/jasminevale/jasminevale/internal/jvversion"
@@ -79,6 +80,9 @@
 	Limits Limits
 	// Versions holds the versions at which streams began.
 	Versions Versions
+	// Reach knows which targets only other routers reach, Forwarder sends attempts through these.
+	Reach     *jvreach.Monitor
+	Forwarder Forwarder
 	// TargetsCurrent reports whether the list of targets is up to date.
 	TargetsCurrent func() bool
 	// LateDrain is how long after a target was seen to leave it still gets streams that can go on nowhere
--- /dev/null
+++ b/internal/jvrelay/peer.go
@@ -0,0 +1,102 @@
+package jvrelay
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/pkg/errors"
+
+	"github.com/jasminevale/jasminevale/internal/jvfault"
+	"github.com/jasminevale/jasminevale/internal/jvtarget"
+)
+
+// ServePeer makes one attempt for another router, which does not reach targets, and returns the target's response. The
+// other router has admitted the request, and settles it; it also closes the body of the response. An error of
+// KindUnsent means that the attempt was sent to no target, KindRefused that the target did not run it.
+func (r *Relay) ServePeer(ctx context.Context, d Dispatch, from string) (*Response, error) {
+	const op = "attempt for another router"
+	startedAt := r.options.Timer.Now()
+	a := &activeRequest{request: d.Request, pool: d.Selection.Pool, features: d.Selection.Features, lastEventID: -1, deadline: startedAt.Add(d.Timeout)}
+	// A router that reaches no target does not forward what others have sent it: there is one hop only.
+	if r.Room() == 0 || r.options.Reach.Cut() || !r.Enter() {
+		return nil, r.reportPeer(a, from, jvfault.Newf(op, KindUnsent, "this router takes no requests of others now"))
+	}
+	ctx, cancel := context.WithDeadline(ctx, a.deadline)
+	end := func(lease jvtarget.Lease, err error) {
+		lease.Release(resultOf(err))
+		if err != nil {
+			r.recordTargetFailure(ctx, a, lease.Target, jvfault.KindOf[Kind](err), err)
+		}
+		cancel()
+		r.Leave()
+		_ = r.reportPeer(a, from, err)
+	}
+	s := d.Selection
+	lease, err := r.targets.Acquire(ctx, jvtarget.Request{
+		Pool: s.Pool, Attempt: fmt.Sprintf("%s@%s.%d", d.Request.ID, from, startedAt.UnixNano()), Prefix: s.Prefix, Digest: s.Features.Request[:],
+		Priority: -d.Priority, Avoid: s.Avoid, Deadline: a.deadline, Bound: s.Bound, Version: s.Version,
+	})
+	if err != nil {
+		cancel()
+		r.Leave()
+		return nil, r.reportPeer(a, from, jvfault.New(op, KindUnsent, err))
+	}
+	a.startAttempt(startedAt, try{lease: lease})
+	a.setTarget(lease.Target, r.registry.startedAt(lease.Target.Name))
+	d.Target = lease.Target
+	d.Timeout = a.deadline.Sub(r.options.Timer.Now())
+	response, err := r.send(ctx, a, d)
+	if err != nil {
+		err = r.classify(ctx, err)
+		end(lease, err)
+		return nil, err
+	}
+	response.Target = lease.Target
+	response.StartedAtMillis = a.targetStartedAt
+	response.Body = &peerBody{ReadCloser: response.Body, request: a, end: func(err error) { end(lease, r.classify(ctx, err)) }}
+	return response, nil
+}
+
+// reportPeer writes the log line of an attempt for another router and records its metrics. It returns err.
+func (r *Relay) reportPeer(a *activeRequest, from string, err error) error {
+	kind := jvfault.KindOf[Kind](err)
+	r.options.Meter.CountForwarded("in", string(kind))
+	values := []any{"request", a.request.ID, "from", from, "pool", a.pool, "target", a.target, "build", a.version, "kind", kind}
+	if err != nil {
+		values = append(values, "cause", err.Error())
+	}
+	r.options.Logger.Info("attempt for another router", values...)
+	return err
+}
+
+// peerBody is the body of a target's response to an attempt for another router. Its end ends the attempt.
+type peerBody struct {
+	io.ReadCloser
+
+	request *activeRequest
+	// end is called once with what ended the attempt.
+	end   func(err error)
+	ended bool
+	err   error
+}
+
+// Read implements io.Reader.
+func (b *peerBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.request.progress = b.request.progress || n > 0
+	if err != nil && !errors.Is(err, io.EOF) {
+		b.err = jvfault.New("read response", KindBroken, err)
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *peerBody) Close() error {
+	err := b.ReadCloser.Close()
+	if !b.ended {
+		b.ended = true
+		b.end(b.err)
+	}
+	return err
+}
--- a/internal/jvrelay/registry.go
+++ b/internal/jvrelay/registry.go
@@ -153,6 +153,23 @@
 	g.updateTargets()
 }
 
+// forgetEnded ends the doubts about targets that began just before this router found out that its own link is at
+// fault.
+func (g *Registry) forgetEnded() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.timer.Now()
+	for id, since := range g.unverified {
+		if now.Sub(since) < maxCutDetection {
+			delete(g.unverified, id)
+		}
+	}
+	g.updateTargets()
+}
+
+// maxCutDetection is the time in which a router finds out that its own link is at fault.
+const maxCutDetection = time.Second
+
 // verifyTime is the time after which a target whose entry has neither changed nor lapsed is still the same
 // process. Entries lapse a few seconds after the last heartbeat.
 const verifyTime = 6 * time.Second
--- a/internal/jvrelay/relay.go
+++ b/internal/jvrelay/relay.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/jasminevale/jasminevale/internal/jvmeter"
+	"github.com/jasminevale/jasminevale/internal/jvreach"
 	"github.com/jasminevale/jasminevale/internal/jvroute"
 	"github.com/jasminevale/jasminevale/internal/jvtarget"
 )
@@ -28,7 +29,8 @@
 // NewRelay returns a relay without configuration and targets.
 func NewRelay(o Options) *Relay {
 	r := &Relay{options: o, retries: newRetryBudgets(o)}
-	r.targets = jvtarget.NewTableWith(o.Zone, o.Timer, o.Random.Float, o.Weights, o.Limits).WithLateDrain(o.LateDrain)
+	r.targets = jvtarget.NewTableWith(o.Zone, o.Timer, o.Random.Float, o.Weights, o.Limits).
+		WithLateDrain(o.LateDrain).WithUnreachable(o.Reach.Unreachable)
 	r.crashes = newCrashDetector(o)
 	r.registry = newRegistry(o, r.targets, r.crashes)
 	o.Timer.Every(expireInterval, func() {
@@ -97,10 +99,43 @@
 		return false, "crashes not read yet"
 	case r.LinkCongested():
 		return false, "link crowded"
+	case r.options.Reach.Stranded():
+		return false, "cut off from all targets and routers"
 	}
 	return true, ""
 }
 
+// ReachChanged applies that targets have become unreachable from here, or reachable again, which recovered lists.
+func (r *Relay) ReachChanged(recovered []string) {
+	r.registry.forgetEnded()
+	r.targets.ReachChanged(recovered)
+}
+
+// ReachTargets returns all targets in service with their addresses.
+func (r *Relay) ReachTargets() []jvreach.Target {
+	var list []jvreach.Target
+	for id, e := range r.registry.Entries() {
+		if !e.Leaving {
+			list = append(list, jvreach.Target{Name: id, Address: e.Target.Address})
+		}
+	}
+	return list
+}
+
+// maxRoom is the number of requests that a router takes from others if its memory sets no limit.
+const maxRoom = 1000
+
+// Room returns how many more requests this router takes from others.
+func (r *Relay) Room() int64 {
+	if ok, _ := r.Ready(); !ok {
+		return 0
+	}
+	if r.options.MaxActive == 0 {
+		return maxRoom
+	}
+	return max(r.options.MaxActive-r.entered.Load(), 0)
+}
+
 // LinkCongested reports whether callers should open their next connection to another machine.
 func (r *Relay) LinkCongested() bool { return r.options.Congested() }
 
--- a/internal/jvrelay/report.go
+++ b/internal/jvrelay/report.go
@@ -22,7 +22,7 @@
 	}
 	values := []any{
 		"request", a.request.ID, "outcome", outcome, "status", a.status, "route", a.route.Name, "version", a.configVersion,
-		"workspace", a.workspace, "pool", a.pool, "target", a.target, "build", a.version, "tries", a.attempts, "runs", a.possibleRuns,
+		"workspace", a.workspace, "pool", a.pool, "target", a.target, "build", a.version, "via", a.via, "tries", a.attempts, "runs", a.possibleRuns,
 		"events", a.eventsForwarded, "ms", now.Sub(a.request.ArrivedAt).Milliseconds(),
 	}
 	if !a.firstByteAt.IsZero() {
--- a/internal/jvrelay/sender.go
+++ b/internal/jvrelay/sender.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/jasminevale/jasminevale/internal/jvconfig"
+	"github.com/jasminevale/jasminevale/internal/jvmember"
+	"github.com/jasminevale/jasminevale/internal/jvquarantine"
 	"github.com/jasminevale/jasminevale/internal/jvtarget"
 )
 
@@ -24,6 +26,30 @@
 	LastEventID string
 	// NewConnection asks for a connection that has carried no other request.
 	NewConnection bool
+
+	// The following are for attempts that another router makes, which selects the target.
+	Selection Selection
+}
+
+// Selection is what another router has to know to select the target of an attempt.
+type Selection struct {
+	Pool string
+	// Prefix is the ID of the prompt part by which targets are selected, or empty.
+	Prefix string
+	// Bound restricts the attempt to targets of a Version.
+	Bound   bool
+	Version string
+	// Avoid names targets on which earlier attempts failed.
+	Avoid []string
+	// Features identify the request in reports of crashes.
+	Features jvquarantine.Features
+}
+
+// Forwarder sends attempts to other routers, which make them.
+type Forwarder interface {
+	// Forward returns once the target's status has arrived. Errors are KindUnsent if no target was sent the
+	// attempt, KindRefused if the target did not run it, else KindBroken.
+	Forward(ctx context.Context, to jvmember.Member, d Dispatch) (*Response, error)
 }
 
 // Response is a target's response up to its body.
@@ -46,6 +72,9 @@
 	Limit      *float64
 	// Load is the target's load report, or nil.
 	Load *jvtarget.Load
+	// Target is the target that another router selected, and StartedAtMillis the start of its process.
+	Target          jvconfig.Target
+	StartedAtMillis int64
 }
 
 // Sender sends attempts to targets.
--- a/internal/jvrelay/serve.go
+++ b/internal/jvrelay/serve.go
@@ -137,22 +137,27 @@
 func (r *Relay) runAttempts(ctx context.Context, a *activeRequest) *Problem {
 	r.retries.budget(a.pool).Earn()
 	for {
-		lease, err := r.targets.Acquire(ctx, r.slotRequest(a))
+		t, err := r.nextTry(ctx, a)
 		if err != nil {
 			a.cause = err.Error()
 			return r.noTargetProblem(a, err)
 		}
 		if refusal, ok := r.options.Quarantine.Admit(ctx, a.features); !ok { // Another router may have reported a crash.
-			lease.Release(jvtarget.ResultInconclusive)
+			r.endTry(t, jvtarget.ResultInconclusive, false)
 			return quarantined(a, refusal)
 		}
-		a.startAttempt(r.options.Timer.Now(), lease.Target, r.registry.startedAt(lease.Target.Name))
-		err = r.attempt(ctx, a, lease)
+		a.startAttempt(r.options.Timer.Now(), t)
+		if t.forwarded {
+			err = r.forwardAttempt(ctx, a, t.peer)
+		} else {
+			a.setTarget(t.lease.Target, r.registry.startedAt(t.lease.Target.Name))
+			err = r.attempt(ctx, a, t.lease)
+		}
 		if err == nil {
 			return nil
 		}
 		a.cause = err.Error()
-		if p, final := r.afterFailure(ctx, a, lease, err); final {
+		if p, final := r.afterFailure(ctx, a, t, err); final {
 			return p
 		}
 	}
@@ -194,22 +199,12 @@
 
 // afterFailure decides after a failed attempt whether the request may go to another target. If
 // not, it returns true and the problem to respond with, or nil if the caller has disconnected.
-func (r *Relay) afterFailure(ctx context.Context, a *activeRequest, lease jvtarget.Lease, err error) (*Problem, bool) {
+func (r *Relay) afterFailure(ctx context.Context, a *activeRequest, t try, err error) (*Problem, bool) {
 	kind := jvfault.KindOf[Kind](err)
-	r.options.Logger.Info("attempt failed", "request", a.request.ID, "target", lease.Target.Name, "build", a.version, "try", a.attempts,
-		"digest", a.features.Request.String(), "kind", kind, "cause", err.Error(), "why", lease.Reason, "events", a.eventsForwarded,
+	r.options.Logger.Info("attempt failed", "request", a.request.ID, "target", a.target, "build", a.version, "try", a.attempts,
+		"digest", a.features.Request.String(), "kind", kind, "cause", err.Error(), "why", t.lease.Reason, "via", a.via, "events", a.eventsForwarded,
 		"attemptms", r.options.Timer.Since(a.attemptStartedAt).Milliseconds())
-	a.avoid = append(a.avoid, lease.Target.Name)
-	switch {
-	case errors.Is(err, ErrConnectionRefused):
-		r.registry.markEnded(lease.Target.Name)
-	case kind == KindBroken:
-		if r.crashes.attemptBroke(ctx, a, lease.Target, errors.Is(err, errStalled)) {
-			r.registry.markEnded(lease.Target.Name)
-		}
-	case kind == KindCallerDisconnected && !a.progress: // Callers leave a silent target.
-		r.crashes.attemptBroke(ctx, a, lease.Target, true)
-	}
+	r.recordFailure(ctx, a, t, kind, err)
 	switch kind {
 	case KindCallerDisconnected:
 		a.possibleRuns++
--- a/internal/jvrelay/version_test.go
+++ b/internal/jvrelay/version_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -105,8 +106,9 @@
 		return lease.Target.Version
 	}
 	synctest.Test(t, func(t *testing.T) {
-		current := true
-		s := newFixtureWith(t, func(o *Options) { o.TargetsCurrent = func() bool { return current } })
+		var current atomic.Bool
+		current.Store(true)
+		s := newFixtureWith(t, func(o *Options) { o.TargetsCurrent = current.Load })
 		g := s.relay.Registry()
 		require.Equal(t, "v1", version(s))
 		g.markEnded("t0")
@@ -117,10 +119,10 @@
 		}
 		g.Update(entries, true)
 		require.Empty(t, version(s), "the entry may have been written before the process ended")
-		current = false
+		current.Store(false)
 		time.Sleep(2 * verifyTime)
 		require.Empty(t, version(s))
-		current = true
+		current.Store(true)
 		time.Sleep(verifyTime + time.Second)
 		require.Equal(t, "v1", version(s))
 		g.markEnded("t0")
--- a/internal/jvtarget/acquire.go
+++ b/internal/jvtarget/acquire.go
@@ -99,9 +99,12 @@
 }
 
 func (p *pool) noTargetError(t *Table, q Request) error {
-	leaving, versions, paused := 0, 0, 0
+	leaving, versions, paused, unreachable := 0, 0, 0, 0
 	now := t.timer.Now()
-	for _, g := range p.targets {
+	for name, g := range p.targets {
+		if accepted, _ := t.inService(g, q); accepted && q.acceptsVersion(g.config) && t.unreachable(name) {
+			unreachable++
+		}
 		if g.leaving {
 			leaving++
 		}
@@ -112,8 +115,10 @@
 			paused++
 		}
 	}
-	return newRefusal(KindNoTarget, minRetryAfter, "no target of pool %s accepts requests: %d in all, %d leaving, %d paused, %d avoided after failures, %d of other versions than %q",
-		q.Pool, len(p.targets), leaving, paused, len(q.Avoid), versions, q.Version)
+	refusal := newRefusal(KindNoTarget, minRetryAfter, "no target of pool %s accepts requests: %d in all, %d leaving, %d paused, %d avoided after failures, %d of other versions than %q, %d unreachable from here",
+		q.Pool, len(p.targets), leaving, paused, len(q.Avoid), versions, q.Version, unreachable)
+	refusal.Unreachable = unreachable
+	return refusal
 }
 
 // predictWait returns how long a request with others ahead of it waits and runs, from the pool's
@@ -124,7 +129,7 @@
 	for name, g := range p.targets {
 		wait, limited := t.limiter.Wait(name)
 		switch {
-		case g.leaving, !q.acceptsVersion(g.config):
+		case g.leaving, !q.acceptsVersion(g.config), t.unreachable(name):
 		case !limited:
 			slots += g.config.Slots
 		case q.accepts(g.config) && (shortest < 0 || wait < shortest):
--- a/internal/jvtarget/error.go
+++ b/internal/jvtarget/error.go
@@ -27,6 +27,8 @@
 	Cause *Error
 	// RetryAfter is the delay after which the request should be retried.
 	RetryAfter time.Duration
+	// Unreachable is the number of targets that would accept the request, but that only other routers reach.
+	Unreachable int
 }
 
 // Error returns the cause on one line.
--- a/internal/jvtarget/table.go
+++ b/internal/jvtarget/table.go
@@ -83,7 +83,10 @@
 	limiter Limiter
 	// lateDrain is how long a leaving target gets requests that are bound to its version.
 	lateDrain time.Duration
-	pools     map[string]*pool
+	// unreachable reports whether this router does not reach a target that other routers reach. Such a target
+	// gets no requests, and its failures don't count.
+	unreachable func(name string) bool
+	pools       map[string]*pool
 	// leavingTargets are the names of the targets that the VM list shows as leaving.
 	leavingTargets map[string]bool
 }
@@ -95,7 +98,7 @@
 
 // NewTableWith returns an empty table with weights and a limiter for a router in a zone.
 func NewTableWith(zone string, timer *jvtimer.Service, random func() float64, w Weights, l Limiter) *Table {
-	t := &Table{zone: zone, timer: timer, random: random, weights: w, limiter: l, pools: map[string]*pool{}, leavingTargets: map[string]bool{}}
+	t := &Table{zone: zone, timer: timer, random: random, weights: w, limiter: l, unreachable: func(string) bool { return false }, pools: map[string]*pool{}, leavingTargets: map[string]bool{}}
 	timer.Every(wakeInterval, t.wakeAll)
 	return t
 }
@@ -109,6 +112,30 @@
 	return t
 }
 
+// WithUnreachable makes the table leave out the targets of which a function reports that only other routers reach
+// them. It returns the table.
+func (t *Table) WithUnreachable(unreachable func(name string) bool) *Table {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.unreachable = unreachable
+	return t
+}
+
+// ReachChanged applies what WithUnreachable's function reports now. The earlier failures of the targets that have
+// recovered were those of this router's own link, so they no longer count.
+func (t *Table) ReachChanged(recovered []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range t.pools {
+		for _, name := range recovered {
+			if g := p.targets[name]; g != nil {
+				g.health = health{}
+			}
+		}
+		p.wake(t)
+	}
+}
+
 // wakeInterval is the interval at which waiting requests try targets whose pause may have ended.
 const wakeInterval = 100 * time.Millisecond
 
@@ -250,7 +277,7 @@
 	now := t.timer.Now()
 	list := make([]Candidate, 0, len(p.targets))
 	for name, g := range p.targets {
-		if accepted, late := t.inService(g, q); !accepted || late != leaving || !g.health.usable(now) || !q.accepts(g.config) {
+		if accepted, late := t.inService(g, q); !accepted || late != leaving || !g.health.usable(now) || !q.accepts(g.config) || t.unreachable(name) {
 			continue
 		}
 		if wait, limited := t.limiter.Wait(name); limited && wait > 0 {
@@ -274,8 +301,8 @@
 
 // worthWaiting reports whether requests should wait for a target of the pool.
 func (p *pool) worthWaiting(t *Table, q Request) bool {
-	for _, g := range p.targets {
-		if accepted, _ := t.inService(g, q); accepted && g.health.worthWaiting() && q.accepts(g.config) {
+	for name, g := range p.targets {
+		if accepted, _ := t.inService(g, q); accepted && !t.unreachable(name) && g.health.worthWaiting() && q.accepts(g.config) {
 			return true
 		}
 	}
@@ -324,6 +351,9 @@
 			r = ResultInconclusive
 		}
 	}
+	if r == ResultFailed && t.unreachable(l.Target.Name) {
+		r = ResultInconclusive
+	}
 	g.traffic.finish(l.Attempt, now)
 	delete(g.running, l.Attempt)
 	switch r {
