Don't send requests that have too little time left

Under overload a fifth of the runs and more was in vain: requests waited until little of their deadline was left, were sent all the same, and their target was paused when the deadline passed.

Cause: a request's place in the queue was decided when it came, by a mean over all routes, and not looked at again when a slot became free.

Evidence: TestTooLittleTime fails without the change. Why this works: the mean service time of the request's route says whether it can still be served; otherwise it is refused, which is true, and the slot goes to the next one.

--- a/internal/jvrelay/serve.go
+++ b/internal/jvrelay/serve.go
@@ -168,6 +168,7 @@
 func (r *Relay) slotRequest(a *activeRequest) jvtarget.Request {
 	s := jvtarget.Request{
 		Pool:     a.pool,
+		Class:    a.route.Name,
 		Attempt:  fmt.Sprintf("%s.%d", a.request.ID, a.attempts+1),
 		Digest:   a.features.Request[:],
 		Priority: -a.priority,
--- a/internal/jvtarget/acquire.go
+++ b/internal/jvtarget/acquire.go
@@ -17,6 +17,8 @@
 	Attempt string
 	// Prefix is a digest of the prompt's beginning, or empty.
 	Prefix string
+	// Class is the class of requests that take about as long, or empty.
+	Class string
 	// Digest identifies the caller's request in crash records.
 	Digest []byte
 	// Parts are the parts of the prompt that other requests may share.
@@ -90,7 +92,7 @@
 	}
 	ahead := p.waiting.ahead(q)
 	wait := p.predictWait(t, ahead, q)
-	if left := q.Deadline.Sub(t.timer.Now()); wait > left {
+	if left := q.Deadline.Sub(t.timer.Now()); wait > left || p.minTime(q.Class) > left {
 		return nil, Lease{}, newRefusal(KindOverloaded, wait-left, "%d requests wait ahead, which takes %s of the %s left", ahead, wait, left)
 	}
 	w := &waiter{request: q, done: make(chan acquired, 1)}
@@ -198,8 +200,14 @@
 // wake assigns free slots to waiters in order; t.mu must be held.
 func (p *pool) wake(t *Table) {
 	full := map[string]bool{} // Versions without a free slot.
+	now := t.timer.Now()
 	for n := 0; n < len(p.waiting); {
 		w := p.waiting[n]
+		if left := w.request.Deadline.Sub(now); left < p.minTime(w.request.Class) {
+			p.waiting = slices.Delete(p.waiting, n, n+1)
+			w.done <- acquired{err: newRefusal(KindOverloaded, minRetryAfter, "%s is left, which is too little", left)}
+			continue
+		}
 		if w.request.Bound && full[w.request.Version] {
 			n++
 			continue
--- a/internal/jvtarget/brittle_test.go
+++ b/internal/jvtarget/brittle_test.go
@@ -100,3 +100,50 @@
 		}
 	})
 }
+
+// TestTooLittleTime guards against requests that wait until too little of their deadline is left and then run in vain:
+// they are refused, at once if that is known when they come.
+func TestTooLittleTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		timer := jvtimer.NewService()
+		t.Cleanup(timer.Close)
+		table := NewTable("z", timer, func() float64 { return 0 })
+		table.SetPools(map[string][]jvconfig.Target{"p": {{Name: "t", Zone: "z", Address: "a:1", Slots: 1}}}, func(string) bool { return false })
+		acquire := func(class string, left time.Duration) (Lease, error) {
+			return table.Acquire(t.Context(), Request{Pool: "p", Attempt: class + left.String(), Class: class, Deadline: time.Now().Add(left)})
+		}
+		lease, err := acquire("slow", time.Hour)
+		require.NoError(t, err)
+		time.Sleep(time.Second)
+		lease.Release(ResultSucceeded)
+		lease, err = acquire("fast", time.Hour)
+		require.NoError(t, err)
+		time.Sleep(10 * time.Millisecond)
+		lease.Release(ResultSucceeded)
+		lease, err = acquire("other", time.Hour)
+		require.NoError(t, err)
+		type result struct {
+			lease Lease
+			err   error
+		}
+		slow, fast := make(chan result, 1), make(chan result, 1)
+		go func() {
+			l, err := acquire("slow", 3*time.Second)
+			slow <- result{l, err}
+		}()
+		go func() {
+			l, err := acquire("fast", 3*time.Second)
+			fast <- result{l, err}
+		}()
+		synctest.Wait()
+		time.Sleep(2500 * time.Millisecond)
+		lease.Release(ResultInconclusive)
+		require.Error(t, (<-slow).err)
+		got := <-fast
+		require.NoError(t, got.err)
+		started := time.Now()
+		_, err = acquire("slow", 500*time.Millisecond)
+		require.Error(t, err)
+		require.Zero(t, time.Since(started))
+	})
+}
--- a/internal/jvtarget/lease.go
+++ b/internal/jvtarget/lease.go
@@ -28,6 +28,7 @@
 
 	table *Table
 	pool  string
+	class string
 }
 
 // Release returns the slot to the table.
--- a/internal/jvtarget/table.go
+++ b/internal/jvtarget/table.go
@@ -53,6 +53,8 @@
 	waiting waitQueue
 	// meanServiceSeconds is the moving mean of how long a request holds a slot.
 	meanServiceSeconds float64
+	// classSeconds is the same mean for each class of requests.
+	classSeconds map[string]float64
 	// brittleUntil is when the pool's targets stop being brittle, unless they say again that they are.
 	brittleUntil time.Time
 }
@@ -167,7 +169,7 @@
 	for name, targets := range pools {
 		p := t.pools[name]
 		if p == nil {
-			p = &pool{targets: map[string]*target{}}
+			p = &pool{targets: map[string]*target{}, classSeconds: map[string]float64{}}
 			t.pools[name] = p
 		}
 		t.configurePool(p, targets, drained)
@@ -333,7 +335,7 @@
 	g.running[q.Attempt] = &runningAttempt{digest: q.Digest, parts: q.Parts}
 	g.health.selected()
 	reason := fmt.Sprintf("%s has %d of %d slots busy, %d candidates, near=%t", c.Name, c.Busy, c.Slots, len(list), c.SameZone)
-	return Lease{Target: g.config, Attempt: q.Attempt, Reason: reason, table: t, pool: q.Pool}, ""
+	return Lease{Target: g.config, Attempt: q.Attempt, Reason: reason, table: t, pool: q.Pool, class: q.Class}, ""
 }
 
 func (t *Table) release(l Lease, r Result) {
@@ -347,7 +349,7 @@
 	now := t.timer.Now()
 	startedAt, started := g.traffic.starts[l.Attempt]
 	if started && r == ResultSucceeded {
-		p.recordService(now.Sub(startedAt))
+		p.recordService(l.class, now.Sub(startedAt))
 	}
 	if r == ResultTimedOut {
 		r = ResultFailed
@@ -388,12 +390,27 @@
 // serviceTimeWeight is the weight of the newest request in the mean service time.
 const serviceTimeWeight = 0.1
 
-func (p *pool) recordService(d time.Duration) {
-	if p.meanServiceSeconds == 0 {
-		p.meanServiceSeconds = d.Seconds()
-		return
+func (p *pool) recordService(class string, d time.Duration) {
+	p.meanServiceSeconds = movingMean(p.meanServiceSeconds, d.Seconds())
+	if class != "" {
+		p.classSeconds[class] = movingMean(p.classSeconds[class], d.Seconds())
+	}
+}
+
+func movingMean(mean, newest float64) float64 {
+	if mean == 0 {
+		return newest
 	}
-	p.meanServiceSeconds += serviceTimeWeight * (d.Seconds() - p.meanServiceSeconds)
+	return mean + serviceTimeWeight*(newest-mean)
+}
+
+// minTimeShare is the share of the mean service time of its class that a request needs to be worth sending.
+const minTimeShare = 0.9
+
+// minTime returns the time that has to be left of a request's deadline when it is sent: with less it would mostly run
+// in vain.
+func (p *pool) minTime(class string) time.Duration {
+	return time.Duration(minTimeShare * p.classSeconds[class] * float64(time.Second))
 }
 
 // Instance returns the instance that a lease's target reported last, or "".
