--- a/internal/jvrelay/crashes.go
+++ b/internal/jvrelay/crashes.go
@@ -82,12 +82,15 @@
 		Target: t.Name, StartedAtMillis: a.targetStartedAt, SentAt: a.attemptStartedAt, EndedAt: d.options.Timer.Now(), Progress: a.progress,
 	}}
 	if !silent && ctx.Err() == nil {
-		// A cut of this router's own link looks the same.
-		if e := d.probe(ctx, t); e != "" && d.options.Reach.Down(jvreach.Target{Name: t.Name, Address: t.Address}) {
+		e := d.probe(ctx, t)
+		if e != "" && d.options.Reach.Down(jvreach.Target{Name: t.Name, Address: t.Address}) {
 			d.report(b, e)
 			return true
 		}
 	}
+	if d.options.Reach.Unreachable(t.Name) { // A cut of this router's own link looks the same.
+		return false
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	list := d.unresolved[t.Name]
--- a/internal/jvrelay/forward_test.go
+++ b/internal/jvrelay/forward_test.go
@@ -168,7 +168,21 @@
 			a.setFeatures()
 			f.sender.probe = ProbeRefused
 			require.False(t, f.relay.crashes.attemptBroke(t.Context(), a, jvconfig.Target{Name: "t0"}, false))
+			f.relay.crashes.entryRemoved("t0") // Its entry may lapse in the same cut.
 			require.False(t, f.relay.options.Quarantine.Suspected(a.features.Request))
 		}
 	})
 }
+
+// TestStrandedRouter guards against a router that keeps its callers although it reaches neither targets nor other
+// routers.
+func TestStrandedRouter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCutFixture(t)
+		time.Sleep(2 * time.Second) // No other router answers.
+		ready, reason := f.relay.Ready()
+		require.False(t, ready)
+		require.Equal(t, "cut off from all targets and routers", reason)
+		require.True(t, f.relay.SendsAway())
+	})
+}
