--- a/internal/jvrelay/relay.go
+++ b/internal/jvrelay/relay.go
@@ -136,9 +136,12 @@
 	return max(r.options.MaxActive-r.entered.Load(), 0)
 }
 
-// LinkCongested reports whether callers should open their next connection to another machine.
+// LinkCongested reports whether this machine's network link is congested.
 func (r *Relay) LinkCongested() bool { return r.options.Congested() }
 
+// SendsAway reports whether callers should open their next connection to another machine.
+func (r *Relay) SendsAway() bool { return r.LinkCongested() || r.options.Reach.Stranded() }
+
 // Stop makes Ready report false; the relay still serves requests.
 func (r *Relay) Stop() { r.stopping.Store(true) }
 
--- a/internal/jvrelay/sender.go
+++ b/internal/jvrelay/sender.go
@@ -70,7 +70,7 @@
 	// Limit is that number, or nil if it can't be read.
 	NamesLimit bool
 	Limit      *float64
-	// Brittle is true if the target says that it ends if it has to turn many requests away.
+	// Brittle is true if the target names itself brittle: it ends if it has to turn many requests away.
 	Brittle bool
 	// Load is the target's load report, or nil.
 	Load *jvtarget.Load
--- a/internal/jvtarget/view.go
+++ b/internal/jvtarget/view.go
@@ -26,7 +26,7 @@
 	Targets []TargetView `json:"targets"`
 	// Waiting is the number of requests that wait for a slot.
 	Waiting int `json:"waiting"`
-	// Brittle is true while the targets say that they end if they turn many requests away.
+	// Brittle is true while the targets name themselves brittle.
 	Brittle bool `json:"brittle"`
 	// MeanServiceSeconds is the mean time for which a request holds a slot.
 	MeanServiceSeconds float64 `json:"service"`
