--- a/internal/jvversion/fleet_test.go
+++ b/internal/jvversion/fleet_test.go
@@ -74,7 +74,8 @@
 const (
 	// mutantGuess makes a router that does not know the version take the newest that it knows of.
 	mutantGuess = "guess"
-	// mutantStale makes routers trust their list of targets whatever its age.
+	// mutantStale makes routers trust their list of targets whatever its age, and learn no versions from the
+	// topic, by which they would notice.
 	mutantStale = "stale"
 )
 
@@ -106,7 +107,11 @@
 // join starts a new router.
 func (f *fleet) join() {
 	n := len(f.routers)
-	r := &router{client: jvtopic.NewClient(f.topic, jvtopic.MutantNone), member: jvmember.Member{
+	client := jvtopic.NewClient(f.topic, jvtopic.MutantNone)
+	if f.mutant == mutantStale {
+		client = jvtopic.NewClient(f.topic, jvtopic.MutantUnshared)
+	}
+	r := &router{client: client, member: jvmember.Member{
 		Name: fmt.Sprint("router-", n), Zone: fmt.Sprint("zone-", n%zones), Address: fmt.Sprint("10.0.0.1:", n),
 	}}
 	f.mu.Lock()
@@ -184,7 +189,7 @@
 	const interval = 50 * time.Millisecond
 	for end := f.timer.Now().Add(d); ; {
 		for _, r := range f.routers {
-			r.client.Set(r.storeAway, false)
+			r.client.Set(r.storeAway && f.mutant != mutantStale, false)
 			if !r.down && !r.storeAway {
 				r.set(func() { r.view, r.viewAt = slices.Clone(f.versions), f.timer.Now() })
 				r.Observe(map[string][]string{pool: r.view})
--- a/internal/jvversion/history.go
+++ b/internal/jvversion/history.go
@@ -19,6 +19,8 @@
 
 	mu     sync.Mutex
 	states map[string]*versionState // By key of the origin.
+	// lostAt is when the list of targets was last found to be outdated.
+	lostAt time.Time
 }
 
 // versionState is what is known of one version of a pool.
@@ -121,9 +123,22 @@
 	return n
 }
 
+// current reports whether this router knows all versions of the window: the list of targets is up to date, and the
+// topic has been read since the list was last outdated, during which versions may have come and gone.
+func (h *history) current() bool {
+	listed := h.options.Current()
+	readAt, ok := h.follower.LastSeen()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !listed {
+		h.lostAt = h.options.Timer.Now()
+	}
+	return listed && ok && readAt.After(h.lostAt)
+}
+
 // update publishes versions that the topic lacks, and removes those without targets for longer than the window.
 func (h *history) update() {
-	if !h.follower.Loaded() || !h.options.Current() {
+	if !h.current() {
 		return
 	}
 	h.mu.Lock()
@@ -176,7 +191,7 @@
 // several, if one is not known, or if this router can't tell since it has just started or reads the store no
 // more.
 func (h *history) only(pools []string) (string, bool) {
-	if !h.follower.Loaded() || !h.options.Current() {
+	if !h.current() {
 		return "", false
 	}
 	h.mu.Lock()
--- a/internal/jvversion/versions_test.go
+++ b/internal/jvversion/versions_test.go
@@ -99,6 +99,24 @@
 	})
 }
 
+// TestVersionsAfterOutage guards against a router that reads the list of targets again after an outage, but not yet the
+// versions that came and went meanwhile, and takes the one that it knows for the only one.
+func TestVersionsAfterOutage(t *testing.T) {
+	inFleet(t, 6, "", func(f *fleet) {
+		r := f.routers[1]
+		r.set(func() { r.storeAway = true })
+		f.pass(2 * time.Second)
+		f.versions = []string{"v2"}
+		f.pass(time.Second)
+		s, _ := f.begin(f.routers[0])
+		f.versions = []string{"v1"}
+		f.pass(time.Second)
+		r.set(func() { r.storeAway = false })
+		f.pass(0)
+		require.Equal(t, "v2", f.resume(r, s))
+	})
+}
+
 // TestVersionsEnd checks that a version without targets counts for the window and is then removed from the topic,
 // by one router or a few.
 func TestVersionsEnd(t *testing.T) {
