jvrelay: log the phases of a stop and the requests that it breaks off

At the end of the drain each open request has a line (100 at most) with its route, target, via, phase, events, age and its arrival relative to the stop; attempts for other routers have one too, with the router that sent them. "stop phase over" gives the time at which each phase ended, with the callers' connections by state. "stopped" counts the requests that ended since the stop began, by outcome, and those still open.

No logic of the stop changes.

--- a/internal/jvrelay/active.go
+++ b/internal/jvrelay/active.go
@@ -70,10 +70,13 @@
 	retryPaid bool
 	// cause is the text of the latest error.
 	cause string
+	// open is what the log shows of the request while it is in progress.
+	open openRequest
 }
 
 func newActiveRequest(q *Request, c Caller) *activeRequest {
-	a := &activeRequest{request: q, caller: c, lastEventID: -1, deadline: q.Deadline}
+	a := &activeRequest{request: q, lastEventID: -1, deadline: q.Deadline, open: openRequest{id: q.ID, arrivedAt: q.ArrivedAt}}
+	a.caller = countingCaller{Caller: c, open: &a.open}
 	if n, err := strconv.ParseInt(q.LastEventID, 10, 64); err == nil {
 		a.lastEventID = n
 	}
@@ -94,6 +97,7 @@
 	a.target = t.Name
 	a.version = t.Version
 	a.targetStartedAt = startedAtMillis
+	a.open.update(func(o *openRequest) { o.target, o.via = a.target, a.via })
 }
 
 // resumeAfter returns the ID of the event after which the next attempt resumes the stream.
--- a/internal/jvrelay/peer.go
+++ b/internal/jvrelay/peer.go
@@ -17,11 +17,12 @@
 func (r *Relay) ServePeer(ctx context.Context, d Dispatch, from string) (*Response, error) {
 	const op = "attempt for another router"
 	startedAt := r.options.Timer.Now()
-	a := &activeRequest{request: d.Request, pool: d.Selection.Pool, features: d.Selection.Features, lastEventID: -1, deadline: startedAt.Add(d.Timeout)}
+	a := &activeRequest{request: d.Request, pool: d.Selection.Pool, features: d.Selection.Features, lastEventID: -1, deadline: startedAt.Add(d.Timeout), open: openRequest{id: d.Request.ID, from: from, arrivedAt: startedAt}}
 	// A router that reaches no target does not forward what others have sent it: there is one hop only.
 	if r.Room() == 0 || r.options.Reach.Cut() || !r.Enter() {
 		return nil, r.reportPeer(a, from, jvfault.Newf(op, KindUnsent, "this router takes no requests of others now"))
 	}
+	remove := r.open.add(&a.open)
 	ctx, cancel := context.WithDeadline(ctx, a.deadline)
 	end := func(lease jvtarget.Lease, err error) {
 		lease.Release(resultOf(err))
@@ -29,6 +30,7 @@
 			r.recordTargetFailure(ctx, a, lease.Target, jvfault.KindOf[Kind](err), err)
 		}
 		cancel()
+		remove()
 		r.Leave()
 		_ = r.reportPeer(a, from, err)
 	}
@@ -39,6 +41,7 @@
 	})
 	if err != nil {
 		cancel()
+		remove()
 		r.Leave()
 		return nil, r.reportPeer(a, from, jvfault.New(op, KindUnsent, err))
 	}
@@ -85,6 +88,9 @@
 func (b *peerBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	b.request.progress = b.request.progress || n > 0
+	if n > 0 {
+		b.request.open.addPart()
+	}
 	if err != nil && !errors.Is(err, io.EOF) {
 		b.err = jvfault.New("read response", KindBroken, err)
 	}
--- a/internal/jvrelay/relay.go
+++ b/internal/jvrelay/relay.go
@@ -21,6 +21,7 @@
 	entered  atomic.Int64
 	stopping atomic.Bool
 	retries  *retryBudgets
+	open     *openRequests
 }
 
 // expireInterval is the interval at which entries are checked for expiry and the retry budgets adapted.
@@ -28,7 +29,7 @@
 
 // NewRelay returns a relay without configuration and targets.
 func NewRelay(o Options) *Relay {
-	r := &Relay{options: o, retries: newRetryBudgets(o)}
+	r := &Relay{options: o, retries: newRetryBudgets(o), open: newOpenRequests()}
 	r.targets = jvtarget.NewTableWith(o.Zone, o.Timer, o.Random.Float, o.Weights, o.Limits).
 		WithLateDrain(o.LateDrain).WithUnreachable(o.Reach.Unreachable).WithSharers(o.Reach.Sharers)
 	r.crashes = newCrashDetector(o)
@@ -143,7 +144,10 @@
 func (r *Relay) SendsAway() bool { return r.LinkCongested() || r.options.Reach.Stranded() }
 
 // Stop makes Ready report false; the relay still serves requests.
-func (r *Relay) Stop() { r.stopping.Store(true) }
+func (r *Relay) Stop() {
+	r.open.stop(r.options.Timer.Now())
+	r.stopping.Store(true)
+}
 
 // Stopping reports whether Stop has been called.
 func (r *Relay) Stopping() bool { return r.stopping.Load() }
@@ -165,6 +169,7 @@
 func (r *Relay) RefuseFull(id string, c Caller) {
 	p := notRun("overloaded", "this router has as many requests in progress as its memory allows", targetRetryAfter)
 	r.options.Meter.CountOutcome("", p.Name, p.Status)
+	r.open.countEnd(p.Name, p)
 	r.options.Logger.Info("request refused unread", "request", id, "active", r.Active(), "limit", r.options.MaxActive)
 	c.Refuse(*p)
 }
--- a/internal/jvrelay/report.go
+++ b/internal/jvrelay/report.go
@@ -8,18 +8,26 @@
 	"github.com/jasminevale/jasminevale/internal/jvquarantine"
 )
 
+// Outcomes of requests without a problem of their own name, in log lines and metrics.
+const (
+	outcomeWhole = "whole"
+	outcomeCut   = "cut"
+	outcomeGone  = "gone"
+)
+
 // report writes the request's log line and records its metrics.
 func (r *Relay) report(ctx context.Context, a *activeRequest, p *Problem) {
 	now := r.options.Timer.Now()
-	outcome := "whole"
+	outcome := outcomeWhole
 	switch {
 	case p != nil && a.headersSent:
-		outcome = "cut"
+		outcome = outcomeCut
 	case p != nil:
 		outcome = p.Name
 	case !a.complete:
-		outcome = "gone"
+		outcome = outcomeGone
 	}
+	r.open.countEnd(outcome, p)
 	values := []any{
 		"request", a.request.ID, "outcome", outcome, "status", a.status, "route", a.route.Name, "version", a.configVersion,
 		"workspace", a.workspace, "pool", a.pool, "target", a.target, "build", a.version, "via", a.via, "tries", a.attempts, "runs", a.possibleRuns,
--- a/internal/jvrelay/serve.go
+++ b/internal/jvrelay/serve.go
@@ -30,6 +30,7 @@
 	r.active.Add(1)
 	defer r.active.Add(-1)
 	a := newActiveRequest(q, c)
+	defer r.open.add(&a.open)()
 	p := r.handle(ctx, a)
 	if a.proven && a.status < http.StatusInternalServerError {
 		r.crashes.requestCompleted(a.completedFeatures())
@@ -84,6 +85,7 @@
 		return &Problem{Status: http.StatusNotFound, Name: "missing", Message: fmt.Sprintf("no route of host %q matches path %q", q.Host, q.Path)}
 	}
 	a.route = route
+	a.open.update(func(o *openRequest) { o.route = route.Name })
 	a.priority = route.Priority
 	if t.RequiresKey() && !route.Anonymous {
 		w, ok := t.WorkspaceByKey(q.Key)
