--- /dev/null
+++ b/internal/jvfleet/stop_test.go
@@ -0,0 +1,59 @@
+package jvfleet_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jasminevale/jasminevale/internal/jvfleet"
+)
+
+// TestStopReturnsTokens guards against a planned stop that waits for answers until its time is over, so that
+// nothing of it is left in which the router returns what it holds: some answers last longer than the stop may
+// take, and all that would end before its last sixth end whole.
+func TestStopReturnsTokens(t *testing.T) {
+	for _, limit := range []time.Duration{3 * time.Second, 6 * time.Second, 10 * time.Second} {
+		t.Run(limit.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSimulatedFleet(t, func(o *jvfleet.Options) { o.Timing.StopTimeout = limit })
+				defer s.close()
+				bundle := fleetBundle()
+				bundle.Profiles[0].TimeoutMillis = 10 * limit.Milliseconds()
+				_, err := s.client.Publish(context.Background(), "slow", bundle, s.sim.Router("a1").Catalog().Version())
+				require.NoError(t, err)
+				time.Sleep(time.Second)
+				s.sim.SetTokenTime(limit / 30)
+				first := s.chat("b1", "measure", "text")
+				require.True(t, first.served(), "%+v", first)
+				require.Greater(t, first.elapsed, limit, "an answer lasts longer than a stop")
+				early, late := make(chan response, 5), make(chan response, 5)
+				for n := range 5 {
+					go func() { early <- s.chat("a1", fmt.Sprint("early", n), "text") }()
+				}
+				time.Sleep(first.elapsed - limit*3/4) // These answers end after three quarters of the stop.
+				for n := range 5 {
+					go func() { late <- s.chat("a1", fmt.Sprint("late", n), "text") }()
+				}
+				time.Sleep(limit / 20)
+				require.Positive(t, s.unspentOfA1())
+				stoppedAt := time.Now()
+				s.sim.Router("a1").Stop(context.Background())
+				took := time.Since(stoppedAt)
+				for range 5 {
+					r := <-early
+					require.True(t, r.served(), "%+v", r)
+					<-late
+				}
+				time.Sleep(time.Second)
+				require.Zero(t, s.unspentOfA1(), "tokens that the stopped VM did not return after %s", took)
+				require.Less(t, took, limit, "the process is still running when it is killed")
+				require.GreaterOrEqual(t, took, limit*5/6, "answers are broken off before the last sixth")
+				require.Empty(t, s.violation())
+			})
+		})
+	}
+}
