jvgrant: one round at a time, also while the allocator closes

Found while looking at what the stop does beside the drain; callers have not been seen to suffer from it.

Cause: Close ran a round while Run's goroutine could be in one. Both then published a statement under one sequence number; the store keeps the first and repeats its response, and the router took the second for published. It could spend up to a bound that no other router and no later process knows.

Rounds now take turns; Close waits for the running one, until its context ends.

--- a/internal/jvgrant/allocator.go
+++ b/internal/jvgrant/allocator.go
@@ -20,6 +20,8 @@
 	statements *jvkeyed.Follower
 	// wake starts a round before the pause between rounds has passed.
 	wake chan struct{}
+	// round has an element while a round runs: two at once would give two statements one number.
+	round chan struct{}
 
 	// mu guards the fields below; the escrow's lock is acquired after it.
 	mu        sync.Mutex
@@ -48,6 +50,7 @@
 		options:   o,
 		escrow:    jvescrow.NewEscrow(),
 		wake:      make(chan struct{}, 1),
+		round:     make(chan struct{}, 1),
 		fleet:     NewFleetView(),
 		lost:      map[string]int64{},
 		demands:   map[string]*demand{},
--- a/internal/jvgrant/rounds.go
+++ b/internal/jvgrant/rounds.go
@@ -29,7 +29,11 @@
 // apart, for requests that wait only for a statement. In a small fleet the statement after the
 // round's rebalance serves them, and also leaves headroom for the next requests.
 func (a *Allocator) publishEarly(ctx context.Context) {
-	if a.fleetSize().large() && a.ready() && a.publishIfDue(ctx) {
+	if !a.fleetSize().large() || !a.ready() || !a.startRound(ctx) {
+		return
+	}
+	defer a.releaseRound()
+	if a.publishIfDue(ctx) {
 		a.endRound()
 	}
 }
@@ -58,6 +62,10 @@
 // runRound reads what other routers wrote, writes what changes at this one, and reports whether
 // anything was written.
 func (a *Allocator) runRound(ctx context.Context) bool {
+	if !a.startRound(ctx) {
+		return false
+	}
+	defer a.releaseRound()
 	defer a.endRound()
 	if !a.ready() {
 		return a.begin(ctx)
@@ -75,6 +83,19 @@
 	return published || rebalanced
 }
 
+// startRound waits until no other round runs, and returns false if ctx ends before.
+func (a *Allocator) startRound(ctx context.Context) bool {
+	select {
+	case a.round <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// releaseRound lets the next round run.
+func (a *Allocator) releaseRound() { <-a.round }
+
 // readDue reports whether this round reads other routers' statements, and whether a request waits.
 // Reads are a ReadInterval apart, and closer while a request waits or a takeover is in progress.
 func (a *Allocator) readDue() (due, waiting bool) {
