--- a/internal/jvgrant/allocator.go
+++ b/internal/jvgrant/allocator.go
@@ -41,13 +41,17 @@
 	roundDone chan struct{}
 	// restored is true once it is known what the previous process held.
 	restored bool
-	closed   bool
+	// policy determines what the router holds; it changes when the router is leaving.
+	policy  Policy
+	leaving bool
+	closed  bool
 }
 
 // NewAllocator returns an Allocator that holds nothing until it runs.
 func NewAllocator(o Options) *Allocator {
 	a := &Allocator{
 		options:   o,
+		policy:    o.Policy,
 		escrow:    jvescrow.NewEscrow(),
 		wake:      make(chan struct{}, 1),
 		round:     make(chan struct{}, 1),
@@ -101,13 +105,32 @@
 	a.refineTakeover(records)
 }
 
-// Close runs a last round, until ctx ends at the latest, which returns all unreserved tokens to the
-// budgets. No more tokens are taken afterwards.
+// Leave prepares the end of the process: the router holds only what its callers need for a time, and returns
+// the rest, now and as requests end. It may be called again with another time.
+func (a *Allocator) Leave(serving time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.leaving = true
+	a.policy = a.options.Policy.Leaving(serving)
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Close returns all unreserved tokens to the budgets, until ctx ends at the latest. No more tokens are taken
+// afterwards.
 func (a *Allocator) Close(ctx context.Context) {
 	a.mu.Lock()
 	a.closed = true
 	a.mu.Unlock()
-	a.runRound(ctx)
+	if !a.ready() || !a.startRound(ctx) {
+		return
+	}
+	defer a.releaseRound()
+	defer a.endRound()
+	a.rebalance(ctx)
+	a.publishIfDue(ctx)
 }
 
 // Escrow returns the accounts, for the dump.
--- a/internal/jvgrant/close_test.go
+++ b/internal/jvgrant/close_test.go
@@ -70,3 +70,77 @@
 		<-done
 	})
 }
+
+// heldInTopic returns what the topic of holdings has of a router.
+func heldInTopic(t *testing.T, h *history, router string) (held int64) {
+	for _, r := range h.grants.newest() {
+		name, workspace, holding, err := decodeHolding(r)
+		require.NoError(t, err)
+		if name == router && workspace == testWorkspace {
+			held += holding.Net()
+		}
+	}
+	return held
+}
+
+// TestLeaveReturnsBesideTheDrain guards against a stopping router that keeps tokens until its last request has
+// ended: unused ones are free for the others at once, those of requests as these end, and requests that still
+// arrive get theirs.
+func TestLeaveReturnsBesideTheDrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := &history{grants: newFakeTopic(), statements: newFakeTopic(), prepaid: testPrepaid}
+		o := &node{name: "r", booted: time.Now(), grants: &topicClient{topic: h.grants, result: callDone}, statements: &topicClient{topic: h.statements, result: callDone}}
+		h.nodes = []*node{o}
+		h.start(o)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			o.allocator.Run(ctx)
+		}()
+		time.Sleep(2 * time.Second)
+		for range 50 {
+			h.reserve(o, 200)
+			time.Sleep(100 * time.Millisecond)
+			h.settle(o, 50)
+		}
+		for range 3 {
+			h.reserve(o, 1000)
+		}
+		account := func() (committed, available int64) {
+			a := o.allocator.escrow.Account(testWorkspace)
+			return a.Committed(), a.Available()
+		}
+		_, before := account()
+		require.Greater(t, before, int64(5*1000), "demand of several seconds is held")
+		o.allocator.Leave(2 * time.Second)
+		time.Sleep(time.Second)
+		_, during := account()
+		require.Less(t, during, before/2, "only what callers need for the notice is held")
+		require.Positive(t, during)
+		h.reserve(o, 200)
+		o.allocator.Leave(0)
+		time.Sleep(time.Second)
+		committed, available := account()
+		require.LessOrEqual(t, available, int64(1000), "a typical request")
+		require.Equal(t, committed+available, heldInTopic(t, h, "r"))
+		r, err := o.allocator.Reserve(ctx, testWorkspace, 2000)
+		require.NoError(t, err, "a request that arrives late gets its tokens")
+		o.allocator.Settle(r, 2000)
+		o.used += 2000
+		for range 4 {
+			h.settle(o, 50)
+		}
+		time.Sleep(time.Second)
+		_, available = account()
+		require.LessOrEqual(t, available, int64(1000), "a typical request")
+		o.allocator.Close(ctx)
+		committed, available = account()
+		require.Zero(t, available)
+		require.Equal(t, committed, heldInTopic(t, h, "r"))
+		require.Equal(t, o.used, committed)
+		require.Empty(t, h.check())
+		cancel()
+		<-done
+	})
+}
--- a/internal/jvgrant/policy.go
+++ b/internal/jvgrant/policy.go
@@ -39,6 +39,16 @@
 	}
 }
 
+// Leaving returns the policy of a router that serves new callers only for a time.
+func (p Policy) Leaving(serving time.Duration) Policy {
+	p.Horizon = min(p.Horizon, max(serving, 0))
+	p.PriorShare = 0
+	if p.Horizon == 0 {
+		p.SpareRequests = 0
+	}
+	return p
+}
+
 // PolicyInput is what a decision on one budget depends on, in tokens.
 type PolicyInput struct {
 	Prepaid int64
--- a/internal/jvgrant/rebalance.go
+++ b/internal/jvgrant/rebalance.go
@@ -90,10 +90,10 @@
 		h, _ := a.fleet.Holding(w, a.options.Router)
 		age := now.Sub(a.partitions[number].lastPolled)
 		switch {
-		case a.closed, account.Returned != h.Returned, a.options.Policy.ReturnAmount(in) > 0,
-			in.free() > 0 && a.options.Policy.NeedsGrant(in),
+		case a.closed && in.Available > 0, account.Returned != h.Returned, a.policy.ReturnAmount(in) > 0,
+			in.free() > 0 && a.policy.NeedsGrant(in),
 			in.Waiting > in.Available && age >= fleet.scale(urgentReadInterval),
-			a.options.Policy.NeedsGrant(in) && age >= fleet.readInterval(a.options.ReadInterval, false):
+			a.policy.NeedsGrant(in) && age >= fleet.readInterval(a.options.ReadInterval, false):
 			due[number] = true
 		}
 	}
@@ -138,7 +138,7 @@
 	if !limited {
 		return Holding{}, false
 	}
-	give := a.options.Policy.ReturnAmount(in)
+	give := a.policy.ReturnAmount(in)
 	if a.closed {
 		give = in.Available
 	}
@@ -149,14 +149,14 @@
 	take := int64(0)
 	if !a.closed && (give == 0 || in.Waiting > 0) { // Tokens that were just returned are not taken again.
 		in.Available = account.Available()
-		take = a.options.Policy.GrantAmount(in)
+		take = a.policy.GrantAmount(in)
 	}
 	h.Granted += take
 	if h == old {
 		return h, false
 	}
 	a.options.Logger.Info("budget moved", "workspace", workspace, "take", take, "give", h.Returned-old.Returned,
-		"available", in.Available, "target", a.options.Policy.Target(in), "prepaid", in.Prepaid, "net", in.Totals.Net,
+		"available", in.Available, "target", a.policy.Target(in), "prepaid", in.Prepaid, "net", in.Totals.Net,
 		"used", in.Totals.Used, "lost", in.Totals.Lost, "rate", in.DemandRate, "rates", in.Totals.DemandRate, "want", in.Waiting, "partition", number, "offset", a.partitions[number].follower.NextOffset())
 	return h, true
 }
--- a/internal/jvgrant/rounds.go
+++ b/internal/jvgrant/rounds.go
@@ -76,7 +76,7 @@
 	if read {
 		_ = a.callTopic(ctx, a.readStatements) // The follower logs failures.
 	}
-	rebalanced := (read || waiting) && a.peersDiscovered() && a.rebalance(ctx)
+	rebalanced := (read || waiting || a.isLeaving()) && a.peersDiscovered() && a.rebalance(ctx)
 	if rebalanced {
 		published = a.publishIfDue(ctx) || published
 	}
@@ -104,13 +104,20 @@
 	now := a.options.Timer.Now()
 	waiting = len(a.waiters) > 0
 	pause := a.fleetSizeLocked().readInterval(a.options.ReadInterval, waiting || a.takeover.last != nil)
-	due = a.closed || now.Sub(a.lastRead) >= pause
+	due = now.Sub(a.lastRead) >= pause
 	if due {
 		a.lastRead = now
 	}
 	return due, waiting
 }
 
+// isLeaving reports whether the end of the process is prepared.
+func (a *Allocator) isLeaving() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.leaving
+}
+
 // readStatements reads other routers' statements. In a large fleet each router has published several
 // since the last read, so listing the newest of each transfers less than reading all: all statements
 // of 62 routers are 0.3 MB/s, a quarter of the capacity of the narrowest link.
@@ -130,11 +137,11 @@
 
 // peersDiscovered reports whether the other routers have had time to publish statements since the
 // start. A router that rebalances earlier takes too many tokens, since it doesn't count the others. It
-// is also true when that can't wait: while a request waits, and in Close.
+// is also true when that can't wait: while a request waits, and while the router is leaving.
 func (a *Allocator) peersDiscovered() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return len(a.waiters) > 0 || a.closed || a.options.ReadClocks().Uptime-a.startedAt.Uptime > a.fleetSizeLocked().scale(discoveryTime)
+	return len(a.waiters) > 0 || a.leaving || a.options.ReadClocks().Uptime-a.startedAt.Uptime > a.fleetSizeLocked().scale(discoveryTime)
 }
 
 // discoveryTime is a few rounds of every router.
--- a/internal/jvkeyed/publisher.go
+++ b/internal/jvkeyed/publisher.go
@@ -87,6 +87,20 @@
 	}
 }
 
+// Wait waits until the topic has confirmed the record of a key, until ctx ends at the latest. Run must be running.
+func (p *Publisher) Wait(ctx context.Context, key string) {
+	for {
+		if _, pending := p.Pending(key); !pending {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.options.Timer.After(batchDelay):
+		}
+	}
+}
+
 // Len returns the number of records that wait for the topic.
 func (p *Publisher) Len() int {
 	p.mu.Lock()
--- a/internal/jvlimit/limits.go
+++ b/internal/jvlimit/limits.go
@@ -58,17 +58,24 @@
 	running.Wait()
 }
 
-// Close removes this router from the members, until ctx ends at the latest. It uses no limit afterwards.
-func (l *Limits) Close(ctx context.Context) {
+// Leave removes this router from the members, in the background. It uses no limit afterwards.
+func (l *Limits) Leave() {
 	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return
+	}
 	l.closed = true
 	l.registeredAt = time.Time{}
 	delete(l.members, l.options.Router)
 	l.updateNames()
-	l.mu.Unlock()
-	if _, err := l.options.Topic.Append(ctx, jvkeyed.Producer{}, []jvkeyed.Record{{Key: routerPrefix + l.options.Router}}); err != nil {
-		l.options.Logger.Info("limits not confirmed", "cause", err.Error())
-	}
+	l.publisher.Put(jvkeyed.Record{Key: routerPrefix + l.options.Router}) // It replaces a registration that waits.
+}
+
+// Close leaves, and waits until the topic has confirmed it, until ctx ends at the latest.
+func (l *Limits) Close(ctx context.Context) {
+	l.Leave()
+	l.publisher.Wait(ctx, routerPrefix+l.options.Router)
 }
 
 // register publishes this router's registration, and drops the members that did not register for long and
--- a/internal/jvmember/members.go
+++ b/internal/jvmember/members.go
@@ -105,9 +105,9 @@
 	if m.options.Self.Address == "" {
 		return
 	}
-	if _, err := m.options.Topic.Append(ctx, jvkeyed.Producer{}, []jvkeyed.Record{{Key: routerPrefix + m.options.Self.Name}}); err != nil {
-		m.options.Logger.Info("members not confirmed", "cause", err.Error())
-	}
+	key := routerPrefix + m.options.Self.Name
+	m.publisher.Put(jvkeyed.Record{Key: key}) // It replaces a registration that waits.
+	m.publisher.Wait(ctx, key)
 }
 
 // register publishes this router's registration, and removes the members that did not register for long.
--- a/internal/jvrelay/open.go
+++ b/internal/jvrelay/open.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// maxOpenLines limits the lines that LogOpen writes.
+// maxOpenLines limits the lines that EndDrain writes.
 const maxOpenLines = 100
 
 // Phases of a request in progress, as the log names them.
@@ -129,8 +129,25 @@
 	return c
 }
 
-// LogOpen writes a line for each request and each attempt for another router in progress, the oldest first.
-func (r *Relay) LogOpen() {
+// Waiting returns the number of requests and attempts for other routers whose response has not begun.
+func (r *Relay) Waiting() int {
+	r.open.mu.Lock()
+	defer r.open.mu.Unlock()
+	n := 0
+	for o := range r.open.all {
+		o.update(func(o *openRequest) {
+			if !o.begun {
+				n++
+			}
+		})
+	}
+	return n
+}
+
+// EndDrain makes the requests in progress count as cut, since their connections close. It writes a line for each
+// of them and each attempt for another router, the oldest first.
+func (r *Relay) EndDrain() {
+	r.drained.Store(true)
 	r.open.mu.Lock()
 	stoppedAt := r.open.stoppedAt
 	open := make([]*openRequest, 0, len(r.open.all))
--- a/internal/jvrelay/relay.go
+++ b/internal/jvrelay/relay.go
@@ -20,8 +20,10 @@
 	active   atomic.Int64
 	entered  atomic.Int64
 	stopping atomic.Bool
-	retries  *retryBudgets
-	open     *openRequests
+	// drained is true once the drain of a stop has ended.
+	drained atomic.Bool
+	retries *retryBudgets
+	open    *openRequests
 }
 
 // expireInterval is the interval at which entries are checked for expiry and the retry budgets adapted.
--- a/internal/jvrelay/report.go
+++ b/internal/jvrelay/report.go
@@ -24,6 +24,8 @@
 		outcome = outcomeCut
 	case p != nil:
 		outcome = p.Name
+	case !a.complete && r.drained.Load():
+		outcome = outcomeCut
 	case !a.complete:
 		outcome = outcomeGone
 	}
