--- a/internal/jvlink/link_test.go
+++ b/internal/jvlink/link_test.go
@@ -92,12 +92,12 @@
 	l := &Link{options: o}
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	listener := Listener{Listener: inner, Link: l}
-	defer func() { _ = listener.Close() }()
+	defer func() { _ = inner.Close() }()
 	done := make(chan error, 1)
 	go func() {
-		c, err := listener.Accept()
+		c, err := inner.Accept()
 		if err == nil {
+			c = l.Wrap(c)
 			_, err = io.Copy(c, io.LimitReader(c, 5))
 			_ = c.Close()
 		}
