jvrelay: a stopping router refuses what can't end before the drain does

What callers saw: of the streams that are sent to a router after SIGTERM and last longer than what is left of its grace period, each is broken off at the end of the drain, though other routers could have ended it.

While the balancer still sends callers (the notice), a request is refused if less than nine tenths of them would have ended in time, and none if fewer than 8 are known. After the notice, where a broken answer has no excuse and few requests arrive, all known ones must fit with a quarter and 0.2 s to spare. A request whose deadline or time-out passes before the end of the drain is never refused by this.

--- a/internal/jvrelay/relay.go
+++ b/internal/jvrelay/relay.go
@@ -19,11 +19,13 @@
 	crashes  *crashDetector
 	active   atomic.Int64
 	entered  atomic.Int64
-	stopping atomic.Bool
+	// stop has the times of a planned stop, or nil.
+	stop atomic.Pointer[stopTimes]
 	// drained is true once the drain of a stop has ended.
-	drained atomic.Bool
-	retries *retryBudgets
-	open    *openRequests
+	drained   atomic.Bool
+	retries   *retryBudgets
+	open      *openRequests
+	durations *durations
 }
 
 // expireInterval is the interval at which entries are checked for expiry and the retry budgets adapted.
@@ -31,7 +33,7 @@
 
 // NewRelay returns a relay without configuration and targets.
 func NewRelay(o Options) *Relay {
-	r := &Relay{options: o, retries: newRetryBudgets(o), open: newOpenRequests()}
+	r := &Relay{options: o, retries: newRetryBudgets(o), open: newOpenRequests(), durations: newDurations()}
 	r.targets = jvtarget.NewTableWith(o.Zone, o.Timer, o.Random.Float, o.Weights, o.Limits).
 		WithLateDrain(o.LateDrain).WithUnreachable(o.Reach.Unreachable).WithSharers(o.Reach.Sharers)
 	r.crashes = newCrashDetector(o)
@@ -90,7 +92,7 @@
 // Ready reports whether the router accepts new callers, and why not if it doesn't.
 func (r *Relay) Ready() (bool, string) {
 	switch {
-	case r.stopping.Load():
+	case r.Stopping():
 		return false, "stopping"
 	case r.table.Load() == nil:
 		return false, "no configuration yet"
@@ -145,14 +147,16 @@
 // SendsAway reports whether callers should open their next connection to another machine.
 func (r *Relay) SendsAway() bool { return r.LinkCongested() || r.options.Reach.Stranded() }
 
-// Stop makes Ready report false; the relay still serves requests.
-func (r *Relay) Stop() {
-	r.open.stop(r.options.Timer.Now())
-	r.stopping.Store(true)
+// Stop makes Ready report false. The relay still serves requests, unless they can't be expected to end before the
+// plan's drain does.
+func (r *Relay) Stop(p StopPlan) {
+	now := r.options.Timer.Now()
+	r.open.stop(now)
+	r.stop.Store(&stopTimes{noticeEnd: now.Add(p.Notice), drainEnd: now.Add(p.DrainEnd())})
 }
 
 // Stopping reports whether Stop has been called.
-func (r *Relay) Stopping() bool { return r.stopping.Load() }
+func (r *Relay) Stopping() bool { return r.stop.Load() != nil }
 
 // Enter admits a request, unless as many are in progress as this machine's memory allows. Leave must be
 // called at the end of a request that was admitted.
--- a/internal/jvrelay/report.go
+++ b/internal/jvrelay/report.go
@@ -30,6 +30,7 @@
 		outcome = outcomeGone
 	}
 	r.open.countEnd(outcome, p)
+	r.recordDuration(a, now)
 	values := []any{
 		"request", a.request.ID, "outcome", outcome, "status", a.status, "route", a.route.Name, "version", a.configVersion,
 		"workspace", a.workspace, "pool", a.pool, "target", a.target, "build", a.version, "via", a.via, "tries", a.attempts, "runs", a.possibleRuns,
--- a/internal/jvrelay/serve.go
+++ b/internal/jvrelay/serve.go
@@ -51,6 +51,9 @@
 	if p := r.admit(a); p != nil {
 		return p
 	}
+	if p := r.refuseLate(a); p != nil {
+		return p
+	}
 	if !r.options.Quarantine.Loaded() {
 		return notRun("unready", "this router has not read which requests crash targets", unreadyRetryAfter)
 	}
--- a/internal/jvrelay/stop.go
+++ b/internal/jvrelay/stop.go
@@ -29,6 +29,49 @@
 	return p
 }
 
+const (
+	// stopRetryAfter is short, since another router can serve the request at once.
+	stopRetryAfter = 50 * time.Millisecond
+	// minKnown is the number of a route's responses from which it is estimated whether a request ends in time, and
+	// minShare the share of them that would have.
+	minKnown = 8
+	minShare = 0.9
+	// lateFactor is how many times the longest known response must fit into what is left of the drain once the notice
+	// is over, lateMargin what must be left besides: hardly anyone sends new requests then, and a caller that is
+	// refused has another router.
+	lateFactor = 1.25
+	lateMargin = 200 * time.Millisecond
+)
+
+// refuseLate returns the problem of a request that arrives while the router stops and can't be expected to end
+// before the drain does. It is nil for a request that ends by then, be it by its deadline.
+func (r *Relay) refuseLate(a *activeRequest) *Problem {
+	s := r.stop.Load()
+	if s == nil || !a.deadline.After(s.drainEnd) {
+		return nil
+	}
+	now := r.options.Timer.Now()
+	left, late := s.drainEnd.Sub(now), now.After(s.noticeEnd)
+	if late {
+		left = time.Duration(float64(left-lateMargin) / lateFactor)
+	}
+	share, known := r.durations.within(a.route.Name, a.request.Usage.OutputTokens, left)
+	ends := known < minKnown || share >= minShare
+	if late {
+		ends = known >= minKnown && share == 1
+	}
+	if ends {
+		return nil
+	}
+	return notRun("stopping", "this router stops before the request would end", stopRetryAfter)
+}
+
+// stopTimes are the times of a planned stop in progress.
+type stopTimes struct {
+	noticeEnd time.Time
+	drainEnd  time.Time
+}
+
 // DrainEnd returns when the drain ends, as the time since the stop began.
 func (p StopPlan) DrainEnd() time.Duration { return p.Notice + p.Drain }
 
