jvfleet: a stop keeps time to return tokens, and returns them meanwhile

What operators would see: a router of the own front that stops while an answer lasts longer than limits.stop returns no tokens of any budget, and its process is still there at its limit, for up to 30 s more.

Cause: one context bounded the wait for requests and what came after it, so the wait could use all of it up; the ports were shut down only then, one after the other, in 30 s of their own.

Requests now have the stop's time but the second half of its last sixth. Half of the rest is kept for the report and the leave, half for sending the ends of responses, at all ports side by side. Tokens that the requests in progress can't need go back while the router drains. Responses announce the close while the router stops, and SIGHUP, whose default ends the process, is ignored then.

--- a/cmd/jvrouter/run.go
+++ b/cmd/jvrouter/run.go
@@ -63,12 +63,15 @@
 	logger.Info("started", "callers", settings.Callers.Address, "operators", settings.Operators.Address, "peers", settings.Peers.Address)
 	select {
 	case <-signals:
+		signal.Ignore(syscall.SIGHUP) // Its default would end the process and the answers in progress.
 		router.Stop(context.Background())
 	case <-router.Done():
 	case err := <-ports.failed:
 		return errors.Wrap(err, "serve a port")
 	}
-	ports.shutdown()
+	ctx, cancel := context.WithDeadline(context.Background(), router.StopEnds())
+	jvedge.Shutdown(ctx, ports.servers)
+	cancel()
 	timer.Close()
 	logger.Info("stopped")
 	return nil
@@ -167,7 +170,7 @@
 	peers := http.NewServeMux()
 	peers.Handle("/peer", jvpeer.NewServer(secret, router.HandlePeer, logger.WithName("peers")))
 	handlers := []http.Handler{
-		jvedge.CallersHandler(jvedge.NewCallers(router, limits), logger.WithName("callers")),
+		jvedge.AnnounceClose(router.Stopping, jvedge.CallersHandler(jvedge.NewCallers(router, limits), logger.WithName("callers"))),
 		jvedge.OperatorsHandler(jvedge.NewOperators(router, stop), logger.WithName("operators")),
 		peers,
 	}
@@ -197,14 +200,3 @@
 	}
 	return jvedge.NewServer(l, h, limits, config), nil
 }
-
-// shutdownTimeout bounds the time to send finished responses to callers after the router has stopped.
-const shutdownTimeout = 30 * time.Second
-
-func (p *ports) shutdown() {
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
-	for _, s := range p.servers {
-		_ = s.HTTP().Shutdown(ctx)
-	}
-}
--- a/internal/jvedge/server.go
+++ b/internal/jvedge/server.go
@@ -33,6 +33,3 @@
 
 // Serve serves requests until the server is shut down or its listener fails; the error is never nil.
 func (s *Server) Serve() error { return s.http.Serve(s.listener) }
-
-// HTTP returns the underlying server, for a graceful shutdown.
-func (s *Server) HTTP() *http.Server { return s.http }
--- a/internal/jvfleet/router.go
+++ b/internal/jvfleet/router.go
@@ -48,6 +48,8 @@
 	pendingOutcomes atomic.Int64
 
 	stopping atomic.Bool
+	// stopEnds is when a planned stop must be over, or nil.
+	stopEnds atomic.Pointer[time.Time]
 	stopped  chan struct{}
 	stopOnce sync.Once
 	ctx      context.Context //nolint:containedctx // It ends the router's own goroutines, not a call.
--- a/internal/jvfleet/stop.go
+++ b/internal/jvfleet/stop.go
@@ -7,19 +7,38 @@
 	"github.com/jasminevale/jasminevale/internal/jvrecord"
 )
 
-// stopPoll is the interval at which a planned stop checks for requests in progress.
-const stopPoll = 20 * time.Millisecond
+const (
+	// stopPoll is the interval at which a planned stop checks for requests in progress.
+	stopPoll = 20 * time.Millisecond
+	// returnInterval is the interval at which it returns tokens that have become unused.
+	returnInterval = 200 * time.Millisecond
+	// maxReturnTime covers a few slow calls of the log.
+	maxReturnTime = 5 * time.Second
+)
+
+// returnTime returns the part of a stop's time that is kept for returning what is left after the drain. As much
+// again is left for sending the ends of responses.
+func returnTime(limit time.Duration) time.Duration { return min(maxReturnTime, limit/24) }
 
 // Stop drains the router: it refuses new requests, waits for those in progress, returns the tokens
-// that it holds of every budget, and closes. It stops waiting when ctx ends or after StopTimeout.
+// that it holds of every budget, meanwhile and at the end, and closes. It ends when ctx ends or in less than
+// StopTimeout, of which requests have all but the second half of the last sixth.
 func (rt *Router) Stop(ctx context.Context) {
 	rt.stopOnce.Do(func() {
+		startedAt := rt.options.Timer.Now()
+		limit := rt.options.Timing.StopTimeout
+		ends := startedAt.Add(limit)
+		rt.stopEnds.Store(&ends)
 		rt.stopping.Store(true)
 		rt.options.Logger.Info("stopping", "active", rt.flights.Active())
-		limited, cancel := context.WithTimeout(ctx, rt.options.Timing.StopTimeout)
-		defer cancel()
-		rt.waitIdle(limited)
-		rt.leave(limited)
+		drainTime := limit - 2*returnTime(limit)
+		drain, cancel := context.WithTimeout(ctx, drainTime)
+		rt.waitIdle(drain)
+		cancel()
+		left := drainTime + returnTime(limit) - rt.options.Timer.Since(startedAt)
+		leave, cancel := context.WithTimeout(ctx, left)
+		rt.leave(leave)
+		cancel()
 		rt.Close()
 		close(rt.stopped)
 	})
@@ -29,11 +48,24 @@
 // Stopping reports whether a planned stop has begun.
 func (rt *Router) Stopping() bool { return rt.stopping.Load() }
 
+// StopEnds returns when a planned stop that has begun must be over, or the zero time.
+func (rt *Router) StopEnds() time.Time {
+	if ends := rt.stopEnds.Load(); ends != nil {
+		return *ends
+	}
+	return time.Time{}
+}
+
 // Done returns a channel that is closed when a planned stop is complete.
 func (rt *Router) Done() <-chan struct{} { return rt.stopped }
 
 func (rt *Router) waitIdle(ctx context.Context) {
+	var returnedAt time.Time
 	for rt.flights.Active() > 0 || rt.pendingOutcomes.Load() > 0 {
+		if rt.options.Timer.Since(returnedAt) >= returnInterval {
+			returnedAt = rt.options.Timer.Now()
+			rt.returnUnused()
+		}
 		select {
 		case <-ctx.Done():
 			rt.options.Logger.Info("stop limit reached with requests open", "active", rt.flights.Active())
@@ -43,6 +75,25 @@
 	}
 }
 
+// returnUnused returns the tokens that the requests in progress can't need, in the background.
+func (rt *Router) returnUnused() {
+	s := rt.current()
+	if !rt.hasJoined(s) {
+		return
+	}
+	var returned int64
+	for profile, a := range s.escrow.Snapshot() {
+		needed := rt.typicalNeed(profile) * int64(rt.flights.Active())
+		if unused := a.Lendable() - needed; unused > 0 {
+			returned += s.escrow.Return(profile, unused)
+		}
+	}
+	if returned > 0 {
+		rt.meter.Returns.Inc()
+		rt.spawn(func() { rt.sendReport(rt.ctx, s) })
+	}
+}
+
 // leave reports everything and closes the origin in one batch. Tokens that are still reserved
 // count as spent, since they may be.
 func (rt *Router) leave(ctx context.Context) {
--- a/internal/jvfleet/stop_test.go
+++ b/internal/jvfleet/stop_test.go
@@ -39,10 +39,13 @@
 					go func() { late <- s.chat("a1", fmt.Sprint("late", n), "text") }()
 				}
 				time.Sleep(limit / 20)
-				require.Positive(t, s.unspentOfA1())
+				held := s.unspentOfA1()
 				stoppedAt := time.Now()
+				halfway := make(chan int64, 1)
+				time.AfterFunc(limit/2, func() { halfway <- s.unspentOfA1() })
 				s.sim.Router("a1").Stop(context.Background())
 				took := time.Since(stoppedAt)
+				require.Less(t, <-halfway, held*2/3, "tokens that no request needs are returned beside the drain")
 				for range 5 {
 					r := <-early
 					require.True(t, r.served(), "%+v", r)
