platform: a refusal counts only for the request it belongs to

What callers saw: a faulty server writes an earlier refusal once more on a kept connection, where the response to the next request is due. The caller gets a 503 ("not run, try again") for a request that the server runs, or an unsafe request runs at a second server.

Cause: X-Not-Executed and 421 were believed before X-Request-Id was looked at.

Fix: a response counts if it has the request's ID. Without an ID it counts only if it can't be a copy of an earlier one: all earlier responses on the connection had their requests' IDs, and the server wrote nothing before the first request.

--- a/internal/jvrelay/attempt.go
+++ b/internal/jvrelay/attempt.go
@@ -113,6 +113,8 @@
 func (r *Relay) deliver(ctx context.Context, a *activeRequest, response *Response, stall stallTimer) error {
 	defer func() { _ = response.Body.Close() }()
 	switch {
+	case response.Refused && response.Unidentified:
+		return jvfault.Newf("attempt", KindRefused, "the target answered %d and did not run it, without the request's ID", response.Status)
 	case response.Refused:
 		return jvfault.Newf("attempt", KindRefused, "the target answered %d and did not run it", response.Status)
 	case !response.Signed:
--- a/internal/jvrelay/sender.go
+++ b/internal/jvrelay/sender.go
@@ -58,9 +58,12 @@
 	Header http.Header
 	Body   io.ReadCloser
 	// Refused is true if the target says that it did not run the attempt, WrongInstance if it
-	// says so because the attempt was meant for another instance.
+	// says so because the attempt was meant for another instance. Neither is if the response may be the one to
+	// another request.
 	Refused       bool
 	WrongInstance bool
+	// Unidentified is true if the response has no request ID.
+	Unidentified bool
 	// Signed is true if the response bears the target's signature and the request's ID.
 	Signed bool
 	// Unframed is true if the body ends with its connection. Its end looks like the end of the target's
