--- a/internal/jvrelay/attempt.go
+++ b/internal/jvrelay/attempt.go
@@ -112,17 +112,25 @@
 // deliver forwards a target's response to the caller if it belongs to the attempt.
 func (r *Relay) deliver(ctx context.Context, a *activeRequest, response *Response, stall stallTimer) error {
 	defer func() { _ = response.Body.Close() }()
-	switch {
-	case response.Refused && response.Unidentified:
-		return jvfault.Newf("attempt", KindRefused, "the target answered %d and did not run it, without the request's ID", response.Status)
-	case response.Refused:
-		return jvfault.Newf("attempt", KindRefused, "the target answered %d and did not run it", response.Status)
-	case !response.Signed:
-		return jvfault.Newf("attempt", KindCrossed, "status %d came without the target's signature or with another request's id", response.Status)
+	if err := response.failure(); err != nil {
+		return err
 	}
 	return r.forwardSigned(ctx, a, response, stall)
 }
 
+// failure returns the failure of an attempt whose response is a refusal or belongs to another request, else nil.
+func (r *Response) failure() error {
+	switch {
+	case r.Refused && r.Unidentified:
+		return jvfault.Newf("attempt", KindRefused, "the target answered %d and did not run it, without the request's ID", r.Status)
+	case r.Refused:
+		return jvfault.Newf("attempt", KindRefused, "the target answered %d and did not run it", r.Status)
+	case !r.Signed:
+		return jvfault.Newf("attempt", KindCrossed, "status %d came without the target's signature or with another request's id", r.Status)
+	}
+	return nil
+}
+
 // hearLimit records what a response says about its target's limit. A response that is not the target's own
 // says nothing, nor does a limit that can't be read.
 func (r *Relay) hearLimit(a *activeRequest, response *Response) {
--- /dev/null
+++ b/internal/jvrelay/refusal_test.go
@@ -0,0 +1,41 @@
+package jvrelay
+
+import (
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestServePeerForeignResponse guards against a target that answers with other requests' responses and gets ever more
+// attempts of other routers: each counted as one that it has served.
+func TestServePeerForeignResponse(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		script   script
+		failures int
+	}{
+		{"the attempt's", script{status: 200, body: "answer"}, 0},
+		{"another request's", script{status: 200, body: "answer", unsigned: true}, 1},
+		{"a refusal", script{status: 503, refused: true}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newFixture(t, c.script)
+				r, err := s.relay.ServePeer(t.Context(), Dispatch{
+					Request: &Request{ID: "q", Method: "POST", Host: "h", URI: "/once/x", Header: http.Header{}}, Timeout: time.Second,
+					Selection: Selection{Pool: "p"},
+				}, "r1")
+				require.NoError(t, err)
+				require.NoError(t, r.Body.Close())
+				failures := 0
+				for _, g := range s.relay.targets.Views()["p"].Targets {
+					failures += g.Failures
+				}
+				require.Equal(t, c.failures, failures)
+			})
+		})
+	}
+}
