jvforward: the head of a response names its attempt

What callers saw: while routers of two builds run side by side, a cut-off router passes on the refusal that a router of an earlier build believed, and the caller gets "not run" for a request that a server runs.

Cause: the head carries the other router's judgement only, and nothing shows by which rule it was made, nor to which message it belongs.

Fix: the head has the attempt's nonce (a new field, which earlier builds ignore). A response to another message is no response; without the field, a refusal counts only on a connection of its own, as unsafe requests have it. An earlier build's head is decoded as before otherwise, and earlier builds decode this one's (TestEarlierBuilds).

--- a/internal/jvforward/client.go
+++ b/internal/jvforward/client.go
@@ -74,7 +74,7 @@
 	case err != nil:
 		return nil, jvfault.New(op, jvrelay.KindBroken, err)
 	}
-	result, err := decodeResponse(response.Body)
+	result, err := decodeResponse(response.Body, head)
 	if err != nil {
 		_ = response.Body.Close()
 		return nil, err
@@ -82,8 +82,8 @@
 	return result, nil
 }
 
-// decodeResponse decodes the head of a response whose body follows.
-func decodeResponse(body io.ReadCloser) (*jvrelay.Response, error) {
+// decodeResponse decodes the head of a response to an attempt. The response's body follows.
+func decodeResponse(body io.ReadCloser, attempt attemptHead) (*jvrelay.Response, error) {
 	const op = "forward"
 	data, err := readHead(body)
 	if err != nil {
@@ -93,6 +93,9 @@
 	if err != nil {
 		return nil, jvfault.New(op, jvrelay.KindBroken, err)
 	}
+	if head.For != "" && head.For != attempt.Nonce {
+		return nil, jvfault.Newf(op, jvrelay.KindBroken, "the response to message %q in place of that to %q", head.For, attempt.Nonce)
+	}
 	if head.Kind != "" {
 		kind := jvrelay.Kind(head.Kind)
 		if kind != jvrelay.KindUnsent && kind != jvrelay.KindRefused {
@@ -100,5 +103,8 @@
 		}
 		return nil, jvfault.Newf(op, kind, "%s", head.Cause)
 	}
+	if head.For == "" && !attempt.NewConnection {
+		head.Refused, head.WrongInstance = false, false
+	}
 	return head.response(body), nil
 }
--- a/internal/jvforward/forward_test.go
+++ b/internal/jvforward/forward_test.go
@@ -228,10 +228,10 @@
 
 // FuzzResponseHead guards against heads that end the process, or a failure that says more than is certain.
 func FuzzResponseHead(f *testing.F) {
-	f.Add(encodeHead(newResponseHead(&jvrelay.Response{Status: 200, Signed: true})))
+	f.Add(encodeHead(newResponseHead("n", &jvrelay.Response{Status: 200, Signed: true})))
 	f.Add(encodeHead(responseHead{Kind: "gone", Cause: "x"}))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		r, err := decodeResponse(io.NopCloser(strings.NewReader(string(data))))
+		r, err := decodeResponse(io.NopCloser(strings.NewReader(string(data))), attemptHead{Nonce: "n"})
 		if err != nil {
 			require.Contains(t, []jvrelay.Kind{jvrelay.KindUnsent, jvrelay.KindRefused, jvrelay.KindBroken}, jvfault.KindOf[jvrelay.Kind](err))
 			return
--- a/internal/jvforward/message.go
+++ b/internal/jvforward/message.go
@@ -92,6 +92,9 @@
 
 // responseHead precedes the body of a target's response.
 type responseHead struct {
+	// For is the nonce of the attempt. Earlier builds send none, and believe a refusal that may be the response to
+	// another request.
+	For string `cbor:"for,omitempty"`
 	// Kind is the kind of failure if there is no response, Cause says why.
 	Kind  string `cbor:"kind,omitempty"`
 	Cause string `cbor:"cause,omitempty"`
@@ -108,9 +111,9 @@
 	Unframed      bool        `cbor:"unframed,omitempty"`
 }
 
-func newResponseHead(r *jvrelay.Response) responseHead {
+func newResponseHead(nonce string, r *jvrelay.Response) responseHead {
 	return responseHead{
-		Target: r.Target.Name, Version: r.Target.Version, Born: r.StartedAtMillis, Status: r.Status, Header: r.Header,
+		For: nonce, Target: r.Target.Name, Version: r.Target.Version, Born: r.StartedAtMillis, Status: r.Status, Header: r.Header,
 		Refused: r.Refused, WrongInstance: r.WrongInstance, Signed: r.Signed, Unframed: r.Unframed,
 	}
 }
--- a/internal/jvforward/server.go
+++ b/internal/jvforward/server.go
@@ -77,11 +77,11 @@
 		if kind == "" {
 			kind = jvrelay.KindBroken
 		}
-		_, _ = w.Write(encodeHead(responseHead{Kind: string(kind), Cause: err.Error()})) // A write error means that the other router has left.
+		_, _ = w.Write(encodeHead(responseHead{For: head.Nonce, Kind: string(kind), Cause: err.Error()})) // A write error means that the other router has left.
 		return
 	}
 	defer func() { _ = response.Body.Close() }()
-	if _, err := w.Write(encodeHead(newResponseHead(response))); err != nil {
+	if _, err := w.Write(encodeHead(newResponseHead(head.Nonce, response))); err != nil {
 		return
 	}
 	if !copyBody(w, control, response.Body) {
