jvrelay: a status that callers take for a refusal is not passed on without one

What callers saw: a server's own response with the status 408, 429 or 503, signed and with the request's ID but without X-Not-Executed, is passed on. Only X-Not-Executed says that a server did not run a request; to callers, these statuses promise it.

Evidence: TestStatusWithoutRefusal failed before: "408 length 4: late" for an unsafe request that its server had.

Fix: such a response counts as a failure of an attempt that may have run: 502, or another server if the request may run twice.

--- a/internal/jvrelay/attempt.go
+++ b/internal/jvrelay/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 
 	"github.com/pkg/errors"
 
@@ -118,7 +119,7 @@
 	return r.forwardSigned(ctx, a, response, stall)
 }
 
-// failure returns the failure of an attempt whose response is a refusal or belongs to another request, else nil.
+// failure returns the failure of an attempt whose response must not be forwarded, else nil.
 func (r *Response) failure() error {
 	switch {
 	case r.Refused && r.Unidentified:
@@ -127,10 +128,21 @@
 		return jvfault.Newf("attempt", KindRefused, "the target answered %d and did not run it", r.Status)
 	case !r.Signed:
 		return jvfault.Newf("attempt", KindCrossed, "status %d came without the target's signature or with another request's id", r.Status)
+	case promisesNotRun(r.Status):
+		return jvfault.Newf("attempt", KindFailed, "the target answered %d, which callers take for a refusal, and may have run it", r.Status)
 	}
 	return nil
 }
 
+// promisesNotRun reports whether a status means to callers that the request has not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // hearLimit records what a response says about its target's limit. A response that is not the target's own
 // says nothing, nor does a limit that can't be read.
 func (r *Relay) hearLimit(a *activeRequest, response *Response) {
--- a/internal/jvrelay/refusal_test.go
+++ b/internal/jvrelay/refusal_test.go
@@ -39,3 +39,23 @@
 		})
 	}
 }
+
+// TestStatusWithoutRefusal guards against a caller that gets "not run" for a request that ran: a server's own response has
+// a status that promises this, and the server doesn't say that it did not run the request.
+func TestStatusWithoutRefusal(t *testing.T) {
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		for route, want := range map[string]string{
+			"once": "refused 502 failed, retry after 0s", "fixed": "refused 502 failed, retry after 0s",
+			"safe": "200 length 6: answer", "stream": "200 length -1: id: 1|data: a||id: 2|data: b||id: 3|data: c||",
+		} {
+			synctest.Test(t, func(t *testing.T) {
+				whole := script{status: 200, body: "answer"}
+				if route == "stream" {
+					whole.body = events123
+				}
+				s := newFixture(t, script{status: status, body: "late"}, whole)
+				require.Equal(t, want, s.serve(t.Context(), t, route, nil), "%d on %s", status, route)
+			})
+		}
+	}
+}
