jvrelay: a refusal that may be an earlier request's is no fault of its target

What operators saw: a full server whose refusals have no ID is paused like one that sends other requests' responses, if its connection was reused before the router had seen the first of two refusals.

Cause: each response without the target's signature counted as a failure of the target.

Evidence: TestUnprovenRefusal and TestServePeerForeignResponse failed without the new kind: 1 failure of the target instead of 0.

Fix: such a refusal has the kind "unproven". The request may have run, as before; the target is not paused.

--- a/internal/jvrelay/attempt.go
+++ b/internal/jvrelay/attempt.go
@@ -126,6 +126,8 @@
 		return jvfault.Newf("attempt", KindRefused, "the target answered %d and did not run it, without the request's ID", r.Status)
 	case r.Refused:
 		return jvfault.Newf("attempt", KindRefused, "the target answered %d and did not run it", r.Status)
+	case !r.Signed && r.Unidentified && promisesNotRun(r.Status):
+		return jvfault.Newf("attempt", KindUnproven, "status %d came without an id on a connection that has carried other requests", r.Status)
 	case !r.Signed:
 		return jvfault.Newf("attempt", KindCrossed, "status %d came without the target's signature or with another request's id", r.Status)
 	case promisesNotRun(r.Status):
--- a/internal/jvrelay/error.go
+++ b/internal/jvrelay/error.go
@@ -15,6 +15,8 @@
 	KindUnsent Kind = "unsent"
 	// KindRefused means that the target responded that it did not run the attempt.
 	KindRefused Kind = "refused"
+	// KindUnproven means that the target may have refused the attempt, or an earlier one.
+	KindUnproven Kind = "unproven"
 	// KindFailed means that the target ran the attempt and responded with a failure.
 	KindFailed Kind = "failed"
 	// KindBroken means that the attempt may have run and no complete response arrived.
--- a/internal/jvrelay/fake_test.go
+++ b/internal/jvrelay/fake_test.go
@@ -35,6 +35,8 @@
 	// wrongInstance refuses the attempt as another instance at the same address.
 	wrongInstance bool
 	unsigned      bool
+	// unidentified leaves out the request's ID.
+	unidentified bool
 	// limit is the target's limit, or nil; namesLimit names one that can't be read.
 	limit      *float64
 	namesLimit bool
@@ -100,7 +102,7 @@
 	return &Response{
 		Status: c.status, Header: http.Header{}, Body: io.NopCloser(&scriptBody{ctx: ctx, rest: c.body, script: c}),
 		Refused: c.refused || c.wrongInstance, WrongInstance: c.wrongInstance, Signed: !c.unsigned, Unframed: c.unframed,
-		Limit: c.limit, NamesLimit: c.limit != nil || c.namesLimit,
+		Limit: c.limit, NamesLimit: c.limit != nil || c.namesLimit, Unidentified: c.unidentified,
 	}, nil
 }
 
--- a/internal/jvrelay/refusal_test.go
+++ b/internal/jvrelay/refusal_test.go
@@ -20,6 +20,7 @@
 		{"the attempt's", script{status: 200, body: "answer"}, 0},
 		{"another request's", script{status: 200, body: "answer", unsigned: true}, 1},
 		{"a refusal", script{status: 503, refused: true}, 0},
+		{"a refusal that may be another request's", script{status: 503, unsigned: true, unidentified: true}, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -59,3 +60,18 @@
 		}
 	}
 }
+
+// TestUnprovenRefusal guards against a full server that is paused as a faulty one, and against "not run" for a request that
+// may have run: the refusal may be that of an earlier request on its connection.
+func TestUnprovenRefusal(t *testing.T) {
+	unproven := script{status: 503, unsigned: true, unidentified: true}
+	for route, want := range map[string]string{"once": "refused 502 failed, retry after 0s", "safe": "200 length 6: answer"} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newFixture(t, unproven, script{status: 200, body: "answer"})
+			require.Equal(t, want, s.serve(t.Context(), t, route, nil), route)
+			for _, g := range s.relay.targets.Views()["p"].Targets {
+				require.Zero(t, g.Failures, g.Target)
+			}
+		})
+	}
+}
