jvengine: attempts have a connection of their own

An engine writes an earlier 429 once more on a kept connection: the attempt that it runs counts as not run, its tokens are not charged, and another engine gets the request.

Cause: a refusal and the usage that an engine reports for a canceled attempt have no attempt's ID, unlike the lines of an answer and the responses to calls.

Fix: attempts and their cancellation use a new connection each, as calls with a key do. Lookups and polls of the load stay on kept ones; the responses to lookups name their attempt, and a load is no promise.

--- a/internal/jvengine/client.go
+++ b/internal/jvengine/client.go
@@ -40,8 +40,9 @@
 // Client is the HTTP implementation of Targets.
 type Client struct {
 	pooled *http.Client
-	// unpooled opens a connection for each call. On a reused connection the transport may retry a
-	// call by itself if it has an Idempotency-Key and no body.
+	// unpooled opens a connection for each request. On a reused connection the transport may retry a
+	// call by itself if it has an Idempotency-Key and no body, and a refusal or a usage, which have no
+	// attempt's ID, may be that of an earlier attempt.
 	unpooled *http.Client
 	timer    *jvtimer.Service
 	memory   *jvmemory.Budget
@@ -73,7 +74,7 @@
 	if err != nil {
 		return Usage{}, jvfault.New(op, KindInvalid, err)
 	}
-	response, err := c.send(ctx, op, target, http.MethodPost, "/v1/generate", body, http.Header{"Content-Type": {"application/json"}})
+	response, err := c.send(ctx, c.unpooled, op, target, http.MethodPost, "/v1/generate", body, http.Header{"Content-Type": {"application/json"}})
 	if err != nil {
 		return Usage{}, err
 	}
@@ -160,7 +161,7 @@
 // Cancel implements Targets.
 func (c *Client) Cancel(ctx context.Context, target jvconfig.Target, attempt string) (Usage, error) {
 	const op = "cancel"
-	response, err := c.send(ctx, op, target, http.MethodPost, "/v1/cancel?attempt="+url.QueryEscape(attempt), nil, nil)
+	response, err := c.send(ctx, c.unpooled, op, target, http.MethodPost, "/v1/cancel?attempt="+url.QueryEscape(attempt), nil, nil)
 	if err != nil {
 		return Usage{}, err
 	}
@@ -189,7 +190,7 @@
 	if call.Key != "" {
 		client = c.unpooled
 	}
-	response, err := c.sendWith(ctx, client, op, target, call.Method, call.Path, call.Body, header)
+	response, err := c.send(ctx, client, op, target, call.Method, call.Path, call.Body, header)
 	if err != nil {
 		return Response{}, err
 	}
@@ -225,7 +226,7 @@
 // Load implements Targets.
 func (c *Client) Load(ctx context.Context, target jvconfig.Target) (jvtarget.Load, error) {
 	const op = "read load"
-	response, err := c.send(ctx, op, target, http.MethodGet, "/v1/load", nil, nil)
+	response, err := c.send(ctx, c.pooled, op, target, http.MethodGet, "/v1/load", nil, nil)
 	if err != nil {
 		return jvtarget.Load{}, err
 	}
@@ -237,13 +238,9 @@
 	return l, nil
 }
 
-func (c *Client) send(ctx context.Context, op string, target jvconfig.Target, method, path string, body []byte, header http.Header) (*http.Response, error) {
-	return c.sendWith(ctx, c.pooled, op, target, method, path, body, header)
-}
-
-// sendWith sends a request to a target. The error is of KindUnsent only if no byte of the request
+// send sends a request to a target. The error is of KindUnsent only if no byte of the request
 // was written to a connection.
-func (c *Client) sendWith(ctx context.Context, client *http.Client, op string, target jvconfig.Target, method, path string, body []byte, header http.Header) (*http.Response, error) {
+func (c *Client) send(ctx context.Context, client *http.Client, op string, target jvconfig.Target, method, path string, body []byte, header http.Header) (*http.Response, error) {
 	var gotConn atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { gotConn.Store(true) }}
 	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, "http://"+target.Address+path, bytes.NewReader(body))
