--- a/internal/jvrelay/peer.go
+++ b/internal/jvrelay/peer.go
@@ -57,7 +57,14 @@
 	}
 	response.Target = lease.Target
 	response.StartedAtMillis = a.targetStartedAt
-	response.Body = &peerBody{ReadCloser: response.Body, request: a, err: response.failure(), end: func(err error) { end(lease, r.classify(ctx, err)) }}
+	failure := response.failure()
+	response.Body = &peerBody{ReadCloser: response.Body, request: a, end: func(err error) {
+		if failure != nil {
+			end(lease, failure)
+			return
+		}
+		end(lease, r.classify(ctx, err))
+	}}
 	return response, nil
 }
 
@@ -81,8 +88,7 @@
 	// end is called once with what ended the attempt.
 	end   func(err error)
 	ended bool
-	// err is the failure of the attempt, or nil.
-	err error
+	err   error
 }
 
 // Read implements io.Reader.
@@ -92,7 +98,7 @@
 	if n > 0 {
 		b.request.open.addPart()
 	}
-	if err != nil && !errors.Is(err, io.EOF) && b.err == nil {
+	if err != nil && !errors.Is(err, io.EOF) {
 		b.err = jvfault.New("read response", KindBroken, err)
 	}
 	return n, err
