jvrelay: a stream that has begun gets no other kind of response

Callers saw the text of an error in the middle of their stream, which then ended as if it were complete, or ended so without the rest. It happened when a server broke off a stream and the next one answered the resumed request with another status than 200, or with a body that is no stream.

Cause: forwardSigned chose by status only. What is not 200 went to forwardResponse, which sent a second head (net/http logs and drops it), wrote the body behind the events and ended the response. A failure of 500 or more got there once no retry was left. A 200 with another content type was read as a stream.

Now checkContinues decides before anything else whether a response may follow what the caller has: a status of 200, a stream by its content type and without encoding, of the version that began it. Anything else fails the attempt; the request goes on at another target within attempts, retries and deadline, or the connection ends. A first response that is no stream is forwarded as a whole, like any plain response.

--- a/internal/jvrelay/response.go
+++ b/internal/jvrelay/response.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"mime"
 	"net/http"
 
 	"github.com/pkg/errors"
@@ -14,16 +15,29 @@
 
 // forwardSigned forwards a response that belongs to the attempt, unless another target gets the request.
 func (r *Relay) forwardSigned(ctx context.Context, a *activeRequest, response *Response, stall stallTimer) error {
+	if err := a.checkContinues(response); err != nil {
+		return err
+	}
 	switch {
 	case response.Status >= http.StatusInternalServerError && r.spendRetry(a):
 		a.retryPaid = true
 		return jvfault.Newf("attempt", KindFailed, "the target answered %d", response.Status)
-	case a.route.Kind == jvroute.KindStream && response.Status == http.StatusOK:
+	case a.route.Kind == jvroute.KindStream && response.isStream():
 		return r.classify(ctx, r.forwardStream(a, response, stall))
 	}
 	return r.classify(ctx, r.forwardResponse(a, response))
 }
 
+// isStream reports whether the body of a response is a series of events.
+func (r *Response) isStream() bool {
+	if r.Status != http.StatusOK || r.Header.Get("Content-Encoding") != "" {
+		return false
+	}
+	name := r.Header.Get("Content-Type")
+	media, _, _ := mime.ParseMediaType(name)
+	return name == "" || media == "text/event-stream"
+}
+
 // spendRetry reports whether a request to which a target responded with a failure may be sent
 // again, and takes the retry out of the pool's retry budget.
 func (r *Relay) spendRetry(a *activeRequest) bool {
