jvrelay: join streams of two targets only where their events meet

Callers saw a stream end as if it were complete, or events twice or in the wrong place, when a server broke off a stream and the next one answered with a stream that did not continue it.

Cause: forwardStream checked the numeric ID of an event against the last one, and nothing else. An event without an ID, or with one that is no number of 63 bits, was forwarded anywhere; of an ID in a line of more than 1 KB only the beginning was read. A stream of events without IDs was sent again from its beginning. A stream without any event ended the caller's, as did one that repeated older events only, one of comments, and a body without a length of which only repeated events had arrived. IDs that went back within a response joined two runs.

Now splice decides, event by event and at the end, what of a response follows the events that the caller has. IDs within a response increase by one; the first new one follows the caller's last. An event without an ID is forwarded only behind one whose place is known, and the response can't go on at another target afterwards (sealed). The end counts if the response has brought an event that the caller lacks, or again its last one. A framed stream without events doesn't count, though a sound server may answer so when only the end was lost: it is the same answer as that to anything else, and the caller, whose connection ends, has it in response to its own resumed request. Comments of a later target are forwarded behind its first event.

--- a/internal/jvrelay/active.go
+++ b/internal/jvrelay/active.go
@@ -58,6 +58,8 @@
 	reserveWait time.Duration
 	// headersSent is true once the response to the caller has begun.
 	headersSent bool
+	// sealed is true once no other target can continue the response.
+	sealed bool
 	// lastEventID is the ID of the last event that the caller has, or -1.
 	lastEventID     int64
 	eventsForwarded int64
--- a/internal/jvrelay/events.go
+++ b/internal/jvrelay/events.go
@@ -16,14 +16,18 @@
 	maxEventBytes = 1 << 20
 	// eventReadBytes is the size of the buffer from which lines are taken; longer ones are put together.
 	eventReadBytes = 1 << 10
+	// noID is the ID of an event whose place in its stream is not known.
+	noID = -1
 )
 
 // event is one server-sent event with its bytes as received.
 type event struct {
 	// raw is valid until the next event is read.
 	raw []byte
-	// id is the event's numeric ID, or -1 if it has none.
+	// id is the event's numeric ID, or noID if it has none, several, or one that is not a number.
 	id int64
+	// idLines is the number of lines that set the ID.
+	idLines int
 	// hasContent is false if the event consists of comments only: they show that the server is
 	// connected, not that it works on the request.
 	hasContent bool
@@ -44,7 +48,7 @@
 // next returns the next complete event. It returns io.EOF if the stream ended after a complete
 // event and io.ErrUnexpectedEOF if it ended within one.
 func (r *eventReader) next() (event, error) {
-	e := event{id: -1}
+	e := event{id: noID}
 	r.buffer.Reset()
 	begun := false     // True once a line was not blank.
 	continued := false // True within a line that is longer than the reader's buffer.
@@ -66,7 +70,7 @@
 		case !isLineStart:
 		case len(line) > 0:
 			begun = true
-			e.addLine(line)
+			e.addLine(line, !continued)
 		case begun:
 			e.raw = r.buffer.Bytes()
 			return e, nil
@@ -74,12 +78,17 @@
 	}
 }
 
-// addLine evaluates the beginning of one line of an event.
-func (e *event) addLine(line []byte) {
+// addLine evaluates the beginning of one line of an event; whole is true if that is all of it.
+func (e *event) addLine(line []byte, whole bool) {
 	e.hasContent = e.hasContent || line[0] != ':'
-	if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-		if n, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64); err == nil {
-			e.id = n
-		}
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	if string(name) != "id" {
+		return
+	}
+	e.idLines++
+	n, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 63)
+	e.id = int64(n)
+	if err != nil || !whole || e.idLines > 1 {
+		e.id = noID
 	}
 }
--- a/internal/jvrelay/response.go
+++ b/internal/jvrelay/response.go
@@ -99,22 +99,21 @@
 	const op = "read stream"
 	events := newEventReader(response.Body, r.options.Memory.NewBuffer(maxEventBytes))
 	defer events.free()
-	for received := false; ; received = true {
+	joint := newSplice(a, response)
+	for {
 		e, err := events.next()
-		if errors.Is(err, io.EOF) && response.Unframed && !received {
-			return jvfault.Newf(op, KindBroken, "the connection ended before the first event")
-		}
 		if errors.Is(err, io.EOF) {
 			break
 		}
 		if err != nil {
 			return jvfault.New(op, KindBroken, err)
 		}
-		if e.id >= 0 && a.lastEventID >= 0 && e.id <= a.lastEventID {
-			continue // The target repeats an event that the caller already has.
+		isNew, err := joint.add(e)
+		if err != nil {
+			return err
 		}
-		if e.id >= 0 && a.lastEventID >= 0 && e.id != a.lastEventID+1 {
-			return jvfault.Newf(op, KindCrossed, "event %d came after event %d", e.id, a.lastEventID)
+		if !isNew {
+			continue
 		}
 		if e.hasContent {
 			stall.reset()
@@ -123,6 +122,9 @@
 			return err
 		}
 	}
+	if err := joint.end(); err != nil {
+		return err
+	}
 	if !a.headersSent {
 		a.headersSent = true
 		a.caller.Begin(response.Status, response.Header, 0)
@@ -146,8 +148,10 @@
 	}
 	a.progress = true
 	a.eventsForwarded++
-	if e.id >= 0 {
-		a.lastEventID = e.id
+	if e.id == noID {
+		a.sealed = true // What follows this event can't be requested of another target.
+		return nil
 	}
+	a.lastEventID = e.id
 	return nil
 }
--- /dev/null
+++ b/internal/jvrelay/response_test.go
@@ -0,0 +1,142 @@
+package jvrelay
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jasminevale/jasminevale/internal/jvconfig"
+	"github.com/jasminevale/jasminevale/internal/jvfault"
+	"github.com/jasminevale/jasminevale/internal/jvroute"
+)
+
+// answer is a target's response to one attempt.
+type answer struct {
+	status   int
+	header   http.Header
+	body     string
+	unframed bool
+	// cut ends the body with an error.
+	cut      bool
+	unsigned bool
+}
+
+// answerSender answers attempts in order and records them.
+type answerSender struct {
+	answers []func(d Dispatch) answer
+	sent    []Dispatch
+}
+
+func (s *answerSender) Probe(context.Context, jvconfig.Target) ProbeResult { return ProbeAccepted }
+
+func (s *answerSender) Send(_ context.Context, d Dispatch) (*Response, error) {
+	n := len(s.sent)
+	s.sent = append(s.sent, d)
+	if n >= len(s.answers) {
+		return nil, jvfault.Newf("send", KindBroken, "no answer is left")
+	}
+	a := s.answers[n](d)
+	body := io.Reader(strings.NewReader(a.body))
+	if a.cut {
+		body = io.MultiReader(body, iotest.ErrReader(io.ErrUnexpectedEOF))
+	}
+	if a.header == nil {
+		a.header = http.Header{}
+	}
+	return &Response{Status: a.status, Header: a.header, Body: io.NopCloser(body), Signed: !a.unsigned, Unframed: a.unframed}, nil
+}
+
+// callerRecord is what a caller received.
+type callerRecord struct {
+	statuses []int
+	body     bytes.Buffer
+	refused  *Problem
+	aborted  int
+}
+
+func (c *callerRecord) Begin(status int, _ http.Header, _ int64) {
+	c.statuses = append(c.statuses, status)
+}
+
+func (c *callerRecord) Write(p []byte) error {
+	_, err := c.body.Write(p)
+	return err
+}
+
+func (c *callerRecord) Refuse(p Problem) { c.refused = &p }
+
+func (c *callerRecord) Abort() { c.aborted++ }
+
+// serveAnswers sends a request with three attempts, to a route of a kind that may be repeated, to targets that answer
+// in order.
+func serveAnswers(t *testing.T, kind jvroute.Kind, change func(o *Options), answers ...func(d Dispatch) answer) (*callerRecord, *answerSender) {
+	s := &answerSender{answers: answers}
+	f := newFixtureWith(t, func(o *Options) {
+		o.Sender = s
+		change(o)
+	})
+	f.relay.Configure(jvroute.NewTable(2, jvroute.Limits{}).WithPools([]jvroute.Pool{{Name: "p"}}).WithRoutes([]jvroute.Route{{
+		Name: "r", Host: "h", Prefix: "/", Kind: kind, Timeout: time.Minute, MaxAttempts: 3, Resumable: kind == jvroute.KindStream,
+		Pools: []jvroute.WeightedPool{{Pool: "p", Weight: 1}},
+	}}))
+	c := &callerRecord{}
+	f.relay.Serve(t.Context(), &Request{ID: "r", Method: "POST", Host: "h", Path: "/x", URI: "/x", ArrivedAt: time.Now(), Deadline: time.Now().Add(time.Minute)}, c)
+	return c, s
+}
+
+// fixed answers each attempt alike.
+func fixed(a answer) func(Dispatch) answer {
+	return func(Dispatch) answer { return a }
+}
+
+// soundEvents is the number of events of sound streams.
+const soundEvents = 6
+
+// soundRest returns the events of a sound stream after one.
+func soundRest(after int) string {
+	var b strings.Builder
+	for n := after + 1; n <= soundEvents; n++ {
+		fmt.Fprintf(&b, "id: %d\ndata: sound\n\n", n)
+	}
+	return b.String()
+}
+
+// TestEventsWithoutPlace guards against events that come twice or in the wrong place when a stream goes on at another
+// target after an event whose place is not known (issue 27).
+func TestEventsWithoutPlace(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		first string
+		next  string
+		want  string
+	}{
+		{"events without IDs", "data: a\n\ndata: b\n\n", "data: a\n\ndata: b\n\ndata: c\n\n", "data: a\n\ndata: b\n\n... cut"},
+		{"one event without an ID", "id: 1\ndata: a\n\ndata: b\n\n", "id: 2\ndata: c\n\n", "id: 1\ndata: a\n\ndata: b\n\n... cut"},
+		{"long ID", "id: 1" + strings.Repeat(" ", 2*eventReadBytes) + "0\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 1" + strings.Repeat(" ", 2*eventReadBytes) + "0\ndata: a\n\n... cut"},
+		{"signed ID", "id: +1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: +1\ndata: a\n\n... cut"},
+		{"two runs", "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 1\ndata: z\n\nid: 2\ndata: z\n\nid: 3\ndata: z\n\n", "id: 3\ndata: c\n\n", "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"},
+		{"event without an ID in its place", "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\ndata: end\n\n", "id: 1\ndata: a\n\nid: 2\ndata: b\n\ndata: end\n\n"},
+		{"end is lost", soundRest(0), "", soundRest(0) + "... cut"},
+		{"end is lost, the last event comes again", soundRest(0), soundRest(soundEvents - 1), soundRest(0)},
+		{"only comments", ": wait\n\n", "", ": wait\n\n... cut"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			caller, _ := serveAnswers(t, jvroute.KindStream, func(*Options) {},
+				fixed(answer{status: http.StatusOK, body: c.first, cut: true}), fixed(answer{status: http.StatusOK, body: c.next}))
+			got := caller.body.String()
+			if caller.aborted > 0 {
+				got += "... cut"
+			}
+			require.Equal(t, c.want, got)
+			require.Len(t, caller.statuses, 1)
+		})
+	}
+}
--- a/internal/jvrelay/serve.go
+++ b/internal/jvrelay/serve.go
@@ -225,6 +225,8 @@
 		return expired("the deadline passed before a complete response arrived"), true
 	case ctx.Err() != nil:
 		return notRun("deadline", "the deadline passed before a target accepted the request", targetRetryAfter), true
+	case a.sealed:
+		return mayHaveRun(err.Error()), true
 	case kind == KindUnsent && a.notRun < r.options.MaxNotRun:
 		return nil, false
 	case kind == KindRefused && a.notRun < r.options.MaxNotRun && r.retries.budget(a.pool).Spend():
