jvrelay: a long response that has begun goes on at no other target

Callers could get bytes of two responses in one: a response that exceeds the buffer (1 MB, or what memory is left) is forwarded as it arrives. If it broke off, a safe request, or one for a stream that got a long failure, was sent again, and the next response was written behind the first part. The same timer that sends a request elsewhere when its target is silent ended such a response four target latencies after the attempt began, though it was arriving.

Cause: afterFailure knew only whether the request may be repeated, not that its caller has a part of a response that can't be continued. The stall timer is reset by events only.

A long response now seals the caller's response, which ends the request with its connection, and stops the timer.

--- a/internal/jvrelay/response.go
+++ b/internal/jvrelay/response.go
@@ -25,7 +25,7 @@
 	case a.route.Kind == jvroute.KindStream && response.isStream():
 		return r.classify(ctx, r.forwardStream(a, response, stall))
 	}
-	return r.classify(ctx, r.forwardResponse(a, response))
+	return r.classify(ctx, r.forwardResponse(ctx, a, response, stall))
 }
 
 // isStream reports whether the body of a response is a series of events.
@@ -46,7 +46,7 @@
 
 // forwardResponse forwards a response once it is complete, or as it arrives if it exceeds the buffer or
 // the memory that is left.
-func (r *Relay) forwardResponse(a *activeRequest, response *Response) error {
+func (r *Relay) forwardResponse(ctx context.Context, a *activeRequest, response *Response, stall stallTimer) error {
 	buffer := r.options.Memory.NewBuffer(r.options.MaxBufferedBytes)
 	defer buffer.Free()
 	_, err := buffer.ReadFrom(response.Body)
@@ -54,6 +54,13 @@
 	if err != nil && !errors.Is(err, jvmemory.ErrFull) {
 		return jvfault.New("read response", KindBroken, err)
 	}
+	if err != nil {
+		stall.stop() // No other target can continue the response.
+		if ctx.Err() != nil {
+			return jvfault.New("read response", KindBroken, ctx.Err())
+		}
+		a.sealed = true
+	}
 	a.firstByteAt = r.options.Timer.Now()
 	a.status = response.Status
 	a.headersSent = true
--- a/internal/jvrelay/response_test.go
+++ b/internal/jvrelay/response_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -140,3 +141,62 @@
 		})
 	}
 }
+
+// TestLongResponses guards against bytes of two responses in one: a response that exceeds the buffer is forwarded as it
+// arrives, and breaks off midway (issue 27).
+func TestLongResponses(t *testing.T) {
+	const buffer = 10
+	text := strings.Repeat("a", 3*buffer)
+	for _, c := range []struct {
+		name   string
+		kind   jvroute.Kind
+		status int
+		next   answer
+	}{
+		{"safe", jvroute.KindSafe, http.StatusOK, answer{status: http.StatusOK, body: "next"}},
+		{"safe, then a long one", jvroute.KindSafe, http.StatusOK, answer{status: http.StatusOK, body: strings.Repeat("b", 3*buffer)}},
+		{"safe, then a failure", jvroute.KindSafe, http.StatusOK, answer{status: http.StatusNotFound}},
+		{"failure of a stream, then a stream", jvroute.KindStream, http.StatusNotFound, answer{status: http.StatusOK, body: soundRest(0)}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			caller, sender := serveAnswers(t, c.kind, func(o *Options) { o.MaxBufferedBytes = buffer },
+				fixed(answer{status: c.status, body: text, cut: true}), fixed(c.next))
+			require.Equal(t, []int{c.status}, caller.statuses)
+			require.Equal(t, text, caller.body.String())
+			require.Equal(t, 1, caller.aborted)
+			require.Len(t, sender.sent, 1)
+		})
+	}
+}
+
+// TestLongResponseIsSlow guards against ending a long response of which the caller has the beginning, since its target
+// takes longer than the time after which a request goes to another one.
+func TestLongResponseIsSlow(t *testing.T) {
+	const parts = 20
+	synctest.Test(t, func(t *testing.T) {
+		s := newFixtureWith(t, func(o *Options) {
+			o.MaxBufferedBytes = 10
+			o.Sender = slowSender{parts: parts}
+		})
+		require.Equal(t, "200 length -1: "+strings.Repeat("part", parts), s.serve(t.Context(), t, "safe", nil))
+	})
+}
+
+// slowSender answers with parts that come slowly.
+type slowSender struct{ parts int }
+
+func (s slowSender) Probe(context.Context, jvconfig.Target) ProbeResult { return ProbeAccepted }
+
+func (s slowSender) Send(ctx context.Context, _ Dispatch) (*Response, error) {
+	const interval = 90 * time.Millisecond
+	reader, writer := io.Pipe()
+	go func() {
+		for range s.parts {
+			_, _ = io.WriteString(writer, "part")
+			time.Sleep(interval)
+		}
+		_ = writer.Close()
+	}()
+	context.AfterFunc(ctx, func() { _ = writer.CloseWithError(ctx.Err()) })
+	return &Response{Status: http.StatusOK, Header: http.Header{}, Body: reader, Signed: true}, nil
+}
--- a/internal/jvrelay/splice.go
+++ b/internal/jvrelay/splice.go
@@ -13,6 +13,8 @@
 	switch {
 	case !a.headersSent:
 		return nil
+	case a.sealed:
+		return jvfault.Newf(op, KindCrossed, "the caller's response can't be continued")
 	case response.Status != http.StatusOK:
 		return jvfault.Newf(op, KindFailed, "the target answered %d", response.Status)
 	case !response.isStream():
