jvrelay: log requests whose response breaks off

A request whose response broke off had no "request" line in the log and counted in no metric, so outcome "cut" was never seen. Cause: Serve reported a request after Abort, which ends the handler by a panic. It reports before now. Evidence: TestProcessLogsCutStreams waited 20 s for the line in vain before; it passes now.

--- a/internal/jvrelay/serve.go
+++ b/internal/jvrelay/serve.go
@@ -35,14 +35,17 @@
 	if a.proven && a.status < http.StatusInternalServerError {
 		r.crashes.requestCompleted(a.completedFeatures())
 	}
-	switch {
-	case p != nil && a.headersSent:
-		c.Abort()
-	case p != nil:
+	refused := p != nil && !a.headersSent
+	if refused {
 		a.status = p.Status
+	}
+	r.report(ctx, a, p) // Before Abort, which may panic.
+	switch {
+	case refused:
 		c.Refuse(*p)
+	case p != nil:
+		c.Abort()
 	}
-	r.report(ctx, a, p)
 }
 
 // handle admits the request and runs its attempts, with a reservation if its workspace's budget is
