--- a/internal/jvrelay/events.go
+++ b/internal/jvrelay/events.go
@@ -68,7 +68,7 @@
 		line = bytes.TrimRight(line, "\r\n")
 		switch {
 		case !isLineStart:
-		case len(line) > 0:
+		case len(line) > 0 || continued:
 			begun = true
 			e.addLine(line, !continued)
 		case begun:
@@ -80,7 +80,7 @@
 
 // addLine evaluates the beginning of one line of an event; whole is true if that is all of it.
 func (e *event) addLine(line []byte, whole bool) {
-	e.hasContent = e.hasContent || line[0] != ':'
+	e.hasContent = e.hasContent || !bytes.HasPrefix(line, []byte(":"))
 	name, value, _ := bytes.Cut(line, []byte(":"))
 	if string(name) != "id" {
 		return
--- a/internal/jvrelay/response.go
+++ b/internal/jvrelay/response.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"io"
-	"mime"
 	"net/http"
+	"strings"
 
 	"github.com/pkg/errors"
 
@@ -33,9 +33,9 @@
 	if r.Status != http.StatusOK || r.Header.Get("Content-Encoding") != "" {
 		return false
 	}
-	name := r.Header.Get("Content-Type")
-	media, _, _ := mime.ParseMediaType(name)
-	return name == "" || media == "text/event-stream"
+	media, _, _ := strings.Cut(r.Header.Get("Content-Type"), ";")
+	media = strings.TrimSpace(media)
+	return media == "" || strings.EqualFold(media, "text/event-stream")
 }
 
 // spendRetry reports whether a request to which a target responded with a failure may be sent
--- a/internal/jvrelay/splice.go
+++ b/internal/jvrelay/splice.go
@@ -49,7 +49,7 @@
 	const op = "read stream"
 	switch {
 	case !e.hasContent:
-		return !s.continues || s.received, nil
+		return !s.continues || s.received && s.latest == s.last, nil
 	case e.id == noID && s.latest < s.last:
 		return false, jvfault.Newf(op, KindCrossed, "an event without an ID came after event %d", max(s.last, s.latest))
 	case e.id == noID:
