jvforward: pass on what a target sent before it broke off

A stream that went through another router lost the events that arrived in the same read as the break. The caller's router then had no event and took the attempt for one that brought nothing: of streams whose first server broke off after one to three events, those whose next two attempts were sound or met a wrong response mostly failed with 502 after three such attempts.

Cause: copyBody flushes before each read, so what came together with an error was written but never sent, since the handler then aborts the connection. It flushes before that now.

--- a/internal/jvforward/server.go
+++ b/internal/jvforward/server.go
@@ -141,6 +141,7 @@
 		case err == io.EOF:
 			return true
 		case err != nil:
+			_ = control.Flush() // The other router needs what has arrived.
 			return false
 		}
 	}
