jvrelay: random histories of streams

TestStreamHistories plays one stream of a client that resumes it at two routers by turns, while the servers break off between events or within one, reset, refuse, answer with errors, texts, streams of other requests or events that don't continue, and restart at another version. The client's events have to be the first ones of one version's stream, and a response may look complete only with the last, or if the server itself ended it without an event.

--- a/Makefile
+++ b/Makefile
@@ -55,6 +55,7 @@
 		$(GO) test . -run '^$$' -fuzz $$t -fuzztime 1m || exit 1; done
 	@cd internal && JV_SEED=$${JV_SEED:-7} JV_CHECKS=5000 $(GO) test ./jvversion -run 'TestVersionHistories$$'
 	@cd internal && JV_SEED=$${JV_SEED:-7} JV_CHECKS=10000 $(GO) test ./jvreach -run TestReachHistories
+	@cd internal && $(GO) test ./jvrelay -run TestStreamHistories -rapid.checks=20000
 	@cd internal && for t in jvrelay:FuzzBegunStream jvversion:FuzzReceive jvmember:FuzzDecodeMember jvreach:FuzzReceive jvforward:FuzzAttemptHead jvforward:FuzzResponseHead jvledger:FuzzApply jvledger:FuzzRestore jvsetting:FuzzParseRouter jvoperator:FuzzParseBundle; do \
 		$(GO) test ./$${t%%:*} -run '^$$' -fuzz $${t##*:} -fuzztime 1m || exit 1; done
 
