jvengine: do not follow redirects

A target could send a router's request to any other address, and the router took the response from there for the target's own: an answer of an engine, and a service's response to a call, whose body was sent along with 307.

Cause: http.Client follows redirects. The transport of the platform's front does not. Now a redirect is the target's response: a failed attempt of an engine, and a service's own status for the caller of a service.

--- a/internal/jvengine/client.go
+++ b/internal/jvengine/client.go
@@ -58,11 +58,16 @@
 	unpooled := pooled.Clone()
 	unpooled.DisableKeepAlives = true
 	return &Client{
-		pooled: &http.Client{Transport: pooled}, unpooled: &http.Client{Transport: unpooled},
+		pooled: newHTTPClient(pooled), unpooled: newHTTPClient(unpooled),
 		timer: timer, memory: jvmemory.NewBudget(maxBufferedBytes), stallTimeout: stallTimeout,
 	}
 }
 
+// newHTTPClient returns a client that takes a redirect for the target's response: the router selects targets.
+func newHTTPClient(transport *http.Transport) *http.Client {
+	return &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+}
+
 // Generate implements Targets.
 func (c *Client) Generate(ctx context.Context, target jvconfig.Target, a Attempt, sink func(text string)) (Usage, error) {
 	const op = "generate"
