--- /dev/null
+++ b/internal/jvreach/ask.go
@@ -0,0 +1,117 @@
+package jvreach
+
+import (
+	"github.com/jasminevale/jasminevale/internal/jvcodec"
+	"github.com/jasminevale/jasminevale/internal/jvmember"
+)
+
+// result is what other routers answered.
+type result struct {
+	// answers is the number of routers that answered and are not cut off themselves.
+	answers int
+	// reached are the targets that any of them reached.
+	reached map[string]bool
+	// contact is true if any of them has had a response of a target.
+	contact bool
+}
+
+// ask lets some other routers connect to targets, and returns once one of them has reached all of them, all have
+// answered, or it takes too long.
+func (m *Monitor) ask(targets []Target) result {
+	r := result{reached: map[string]bool{}}
+	others := m.options.Others()
+	asked := make([]jvmember.Member, 0, askedRouters)
+	for _, i := range m.randomOrder(len(others)) {
+		if len(asked) < askedRouters && !m.knownCut(others[i].Name) {
+			asked = append(asked, others[i])
+		}
+	}
+	if len(asked) == 0 {
+		return r
+	}
+	names := make([]string, len(targets))
+	for n, t := range targets {
+		names[n] = t.Name
+	}
+	answers, number, forget := m.newQuestion(askedRouters)
+	defer forget()
+	data := jvcodec.Encode(message{Question: &question{Number: number, Targets: names, From: m.options.Self.Name}})
+	for _, other := range asked {
+		m.options.Send(other, data)
+	}
+	timeout := m.options.Timer.After(answerTimeout)
+	for range asked {
+		select {
+		case a := <-answers:
+			if a.Cut {
+				continue
+			}
+			r.answers++
+			for _, name := range a.Reached {
+				r.reached[name] = true
+			}
+			if len(r.reached) >= len(targets) {
+				return r
+			}
+		case <-timeout:
+			return r
+		}
+	}
+	return r
+}
+
+// newQuestion returns the channel for the answers to a new question, and its number. forget ends the question.
+func (m *Monitor) newQuestion(routers int) (answers chan answer, number uint64, forget func()) {
+	answers = make(chan answer, routers)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lastNumber++
+	number = m.lastNumber
+	m.questions[number] = answers
+	return answers, number, func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		delete(m.questions, number)
+	}
+}
+
+// askContacts asks all other routers whether targets have responded to them in the last contactTime, during which
+// none has responded to this one.
+func (m *Monitor) askContacts() result {
+	r := result{reached: map[string]bool{}}
+	<-m.options.Timer.After(contactTime)
+	others := m.options.Others()
+	answers, number, forget := m.newQuestion(len(others))
+	defer forget()
+	data := jvcodec.Encode(message{Question: &question{Number: number, Contact: contactTime, From: m.options.Self.Name}})
+	for _, other := range others {
+		m.options.Send(other, data)
+	}
+	timeout := m.options.Timer.After(contactWait)
+	for range others {
+		select {
+		case a := <-answers:
+			if !a.Cut {
+				r.answers++
+			}
+			if a.Contact {
+				r.contact = true
+				return r
+			}
+		case <-timeout:
+			return r
+		}
+	}
+	return r
+}
+
+// randomOrder returns the numbers below n in a random order.
+func (m *Monitor) randomOrder(n int) []int {
+	order := make([]int, n)
+	for i := range order {
+		j := min(int(m.options.Random()*float64(i+1)), i)
+		order[i] = order[j]
+		order[j] = i
+	}
+	return order
+}
