jvreach: conclude nothing from failed connections alone

Refusals named "25 unreachable from here" of 25.

Cause: a check connected to nine targets, mostly such that had failed before. If none accepted, and any other router had a response of any target in the last 100 ms, it was a cut. So was a sample of dead targets without other routers that answer. In such a cut three random targets of 25 were tried each 200 ms; when one accepted, all others became unreachable, dead ones too, and stayed so.

Now a target is unreachable from here if it fails, then accepts a connection of another router, and then still fails. A cut needs such a target, and none of the sample that accepts. The sample has targets that answered in the last 3 s; routers name those that responded to them (a new field of answers), and routers to which targets have responded are asked about the sample. Without an answer of any router it is a cut only if up to 64 other targets fail too. Retries try targets that answer others, and in a cut the rest by turns; targets that nobody reaches any more are down, and no longer unreachable. Answers without names, as the release before this one sends, are enough for all of this; it ignores the new field (TestMessagesOfOtherBuilds).

Monitor.Contact gets the target's name, for which jvrelay/attempt.go passes it.

What is refused still falls to requests that try dead targets first.

TestReachHistories has 1 to 90% of dead targets, pools that are down, slow servers, and 5 to 30 targets now, and allows no false finding.

--- a/internal/jvreach/ask.go
+++ b/internal/jvreach/ask.go
@@ -1,6 +1,10 @@
 package jvreach
 
 import (
+	"context"
+	"maps"
+	"slices"
+
 	"github.com/jasminevale/jasminevale/internal/jvcodec"
 	"github.com/jasminevale/jasminevale/internal/jvmember"
 )
@@ -9,16 +13,30 @@
 type result struct {
 	// answers is the number of routers that answered and are not cut off themselves.
 	answers int
-	// reached are the targets that any of them reached.
+	// reached are the targets that accepted a connection of any of them.
 	reached map[string]bool
-	// contact is true if any of them has had a response of a target.
-	contact bool
+	// routers are some of those to which targets have responded lately, responded are some of these targets.
+	routers   []jvmember.Member
+	responded map[string]bool
+}
+
+func newResult() result { return result{reached: map[string]bool{}, responded: map[string]bool{}} }
+
+// with returns all that two results say.
+func (r result) with(other result) result {
+	all := newResult()
+	for _, part := range []result{r, other} {
+		all.answers += part.answers
+		all.routers = append(all.routers, part.routers...)
+		maps.Copy(all.reached, part.reached)
+		maps.Copy(all.responded, part.responded)
+	}
+	return all
 }
 
 // ask lets some other routers connect to targets, and returns once one of them has reached all of them, all have
 // answered, or it takes too long.
 func (m *Monitor) ask(targets []Target) result {
-	r := result{reached: map[string]bool{}}
 	others := m.options.Others()
 	asked := make([]jvmember.Member, 0, askedRouters)
 	for _, i := range m.randomOrder(len(others)) {
@@ -26,6 +44,12 @@
 			asked = append(asked, others[i])
 		}
 	}
+	return m.askRouters(asked, targets)
+}
+
+// askRouters is ask for certain routers.
+func (m *Monitor) askRouters(asked []jvmember.Member, targets []Target) result {
+	r := newResult()
 	if len(asked) == 0 {
 		return r
 	}
@@ -33,7 +57,7 @@
 	for n, t := range targets {
 		names[n] = t.Name
 	}
-	answers, number, forget := m.newQuestion(askedRouters)
+	answers, number, forget := m.newQuestion(len(asked))
 	defer forget()
 	data := jvcodec.Encode(message{Question: &question{Number: number, Targets: names, From: m.options.Self.Name}})
 	for _, other := range asked {
@@ -75,11 +99,15 @@
 	}
 }
 
-// askContacts asks all other routers whether targets have responded to them in the last contactTime, during which
-// none has responded to this one.
-func (m *Monitor) askContacts() result {
-	r := result{reached: map[string]bool{}}
-	<-m.options.Timer.After(contactTime)
+// askContacts asks all other routers which targets have responded to them in the last contactTime, during which none
+// has accepted a connection of this one. It asks nobody if ctx ends meanwhile.
+func (m *Monitor) askContacts(ctx context.Context) result {
+	r := newResult()
+	select {
+	case <-ctx.Done():
+		return r
+	case <-m.options.Timer.After(contactTime):
+	}
 	others := m.options.Others()
 	answers, number, forget := m.newQuestion(len(others))
 	defer forget()
@@ -94,8 +122,18 @@
 			if !a.Cut {
 				r.answers++
 			}
-			if a.Contact {
-				r.contact = true
+			if !a.Contact {
+				continue
+			}
+			i := slices.IndexFunc(others, func(other jvmember.Member) bool { return other.Name == a.From })
+			if i < 0 {
+				continue
+			}
+			r.routers = append(r.routers, others[i])
+			for _, name := range a.Responded {
+				r.responded[name] = true
+			}
+			if len(r.routers) == askedRouters {
 				return r
 			}
 		case <-timeout:
--- a/internal/jvreach/fleet_test.go
+++ b/internal/jvreach/fleet_test.go
@@ -18,8 +18,10 @@
 type router struct {
 	*Monitor
 	member jvmember.Member
-	// recovered are the names of the targets that became reachable again.
+	// recovered are the names of the targets that became reachable again, found is the number of findings that
+	// targets are unreachable.
 	recovered []string
+	found     int
 }
 
 // network says which routers reach which targets and routers. It is safe for concurrent use.
@@ -32,6 +34,8 @@
 	hang bool
 	// dead are the routers that don't answer.
 	dead map[string]bool
+	// work is how long targets take to respond to a request.
+	work time.Duration
 }
 
 // fleet is some routers and targets.
@@ -41,6 +45,8 @@
 	random  *jvchance.Source
 	targets []Target
 	routers []*router
+	// idle gets no requests, unless it is nil.
+	idle *router
 }
 
 // inFleet runs a test with some routers and targets on a fake clock.
@@ -58,8 +64,9 @@
 			f.start(r)
 		}
 		defer func() { // Also after a failure.
+			const longest = 5 * time.Second // Of an attempt and the check that it starts.
 			f.timer.Close()
-			time.Sleep(time.Second)
+			time.Sleep(longest)
 		}()
 		test(f)
 	})
@@ -85,6 +92,9 @@
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		r.recovered = append(r.recovered, recovered...)
+		if recovered == nil {
+			r.found++
+		}
 	}
 	r.Monitor = New(o)
 }
@@ -123,6 +133,13 @@
 	change(&f.network)
 }
 
+// findings returns how often a router has found that targets are unreachable.
+func (f *fleet) findings(r *router) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return r.found
+}
+
 // cutOff makes a router reach none of some targets.
 func (f *fleet) cutOff(r *router, targets []Target) {
 	f.change(func(n *network) {
@@ -139,7 +156,7 @@
 	const interval = 20 * time.Millisecond
 	for end := f.timer.Now().Add(d); f.timer.Now().Before(end); time.Sleep(interval) {
 		for _, r := range f.routers {
-			if t := f.targets[int(f.random.Float()*float64(len(f.targets)))]; !r.Unreachable(t.Name) {
+			if t := f.targets[int(f.random.Float()*float64(len(f.targets)))]; r != f.idle && !r.Unreachable(t.Name) {
 				go f.request(r, t)
 			}
 		}
@@ -154,7 +171,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	if f.connect(ctx, r, t) {
-		r.Contact()
+		f.mu.Lock()
+		work := f.work
+		f.mu.Unlock()
+		time.Sleep(work)
+		r.Contact(t.Name)
 		return
 	}
 	r.Failed(t.Name)
--- a/internal/jvreach/message.go
+++ b/internal/jvreach/message.go
@@ -36,8 +36,10 @@
 	Room int64 `cbor:"room"`
 	// Reached are the targets that accepted a connection.
 	Reached []string `cbor:"reached,omitempty"`
-	// Contact is true if a target has responded to the router in the time that the question names.
-	Contact bool `cbor:"contact,omitempty"`
+	// Contact is true if a target has responded to the router in the time that the question names, Responded are
+	// some of these targets. Earlier releases don't name them.
+	Contact   bool     `cbor:"contact,omitempty"`
+	Responded []string `cbor:"responded,omitempty"`
 }
 
 // maxNameBytes limits the names in messages.
@@ -56,6 +58,7 @@
 	}
 	if m.Answer != nil {
 		names = append(names, m.Answer.Reached...)
+		names = append(names, m.Answer.Responded...)
 		names = append(names, m.Answer.From)
 	}
 	if len(names) > maxProbed+1 {
--- a/internal/jvreach/monitor.go
+++ b/internal/jvreach/monitor.go
@@ -14,24 +14,28 @@
 	options Options
 
 	mu sync.Mutex
-	// cut is true while no target is reachable from here; otherwise unreachable are those that are not.
+	// unreachable are the targets that answer others and not this router. cut is true while it reaches no target.
 	cut         bool
 	unreachable map[string]bool
 	// attempts is the number of attempts in progress, contactAt when a target last responded to one, or the
-	// first one of those in progress began. respondedAt is when a target last responded.
-	attempts    int
-	contactAt   time.Time
-	respondedAt time.Time
+	// first one of those in progress began. answers are the times at which targets last responded, or accepted a
+	// connection of a check.
+	attempts  int
+	contactAt time.Time
+	answers   map[string]time.Time
 	// failures are the times of the latest failed connections, by target.
 	failures map[string]time.Time
 	// checking is true while a check runs, checkedAt is when the last one that found nothing ended.
 	checking  bool
 	checkedAt time.Time
-	// retrying is true while unreachable targets are tried, retriedAt is when the last try began, and askedAt
-	// when the other routers were last asked for their states.
-	retrying  bool
-	retriedAt time.Time
-	askedAt   time.Time
+	// retrying is true while unreachable targets are tried, retriedAt is when the last try began, downAskedAt
+	// when the others were last asked whether they reach those, and askedAt when they were asked for their states.
+	retrying    bool
+	retriedAt   time.Time
+	downAskedAt time.Time
+	askedAt     time.Time
+	// turn counts the targets that were tried by turns. It is used by one retry at a time.
+	turn int
 	// peers are the states of other routers by name.
 	peers map[string]peer
 	// servedAt is when a router that takes requests was last known, while this one is cut off.
@@ -54,7 +58,7 @@
 // New returns a monitor for which all targets are reachable.
 func New(o Options) *Monitor {
 	m := &Monitor{
-		options: o, unreachable: map[string]bool{}, failures: map[string]time.Time{},
+		options: o, unreachable: map[string]bool{}, failures: map[string]time.Time{}, answers: map[string]time.Time{},
 		peers: map[string]peer{}, questions: map[uint64]chan answer{},
 		// An answer to a question of this router's previous process matches none of this one's.
 		lastNumber: uint64(o.Random() * (1 << 53)),
@@ -81,18 +85,31 @@
 }
 
 // Contact records that a target has responded.
-func (m *Monitor) Contact() {
+func (m *Monitor) Contact(target string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.respondedAt = m.options.Timer.Now()
-	m.contactAt = m.respondedAt
+	m.contactAt = m.options.Timer.Now()
+	m.answers[target] = m.contactAt
 }
 
-// hadContact reports whether a target has responded within a time.
-func (m *Monitor) hadContact(within time.Duration) bool {
+// recordAnswer records that a target has accepted a connection.
+func (m *Monitor) recordAnswer(target string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return !m.respondedAt.IsZero() && m.options.Timer.Since(m.respondedAt) < within
+	m.answers[target] = m.options.Timer.Now()
+}
+
+// answered returns the names of up to n targets that have answered within a time.
+func (m *Monitor) answered(within time.Duration, n int) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var names []string
+	for name, at := range m.answers {
+		if len(names) < n && m.options.Timer.Since(at) < within {
+			names = append(names, name)
+		}
+	}
+	return names
 }
 
 // Unreachable reports whether this router does not reach a target that others reach.
@@ -156,6 +173,7 @@
 func (m *Monitor) tick() {
 	m.mu.Lock()
 	now := m.options.Timer.Now()
+	maps.DeleteFunc(m.answers, func(_ string, at time.Time) bool { return now.Sub(at) > answerAge })
 	silent := m.attempts > 0 && now.Sub(m.contactAt) > silenceTime && m.startCheck(now)
 	unreachable := m.cut || len(m.unreachable) > 0
 	retry := unreachable && !m.retrying && now.Sub(m.retriedAt) >= retryInterval
@@ -195,6 +213,9 @@
 	others := m.ask([]Target{t})
 	switch {
 	case others.reached[t.Name]:
+		if len(m.connect([]Target{t})) > 0 { // It is back.
+			return false
+		}
 		m.mu.Lock()
 		m.unreachable[t.Name] = true
 		m.mu.Unlock()
@@ -205,7 +226,7 @@
 		return true
 	}
 	rest := slices.DeleteFunc(m.options.Targets(), func(other Target) bool { return other.Name == t.Name })
-	return len(rest) == 0 || len(m.connect(m.sampleOf(rest, sampleOthers))) > 0
+	return len(rest) == 0 || len(m.connect(m.sampleRecent(rest))) > 0
 }
 
 // Receive handles a message of another router; reply sends one back to it.
@@ -229,7 +250,8 @@
 }
 
 func (m *Monitor) answerTo(q question, reached []string) []byte {
-	a := answer{Number: q.Number, From: m.options.Self.Name, Cut: m.Cut(), Reached: reached, Contact: m.hadContact(q.Contact)}
+	a := answer{Number: q.Number, From: m.options.Self.Name, Cut: m.Cut(), Reached: reached, Responded: m.answered(q.Contact, maxResponded)}
+	a.Contact = len(a.Responded) > 0
 	if !a.Cut {
 		a.Room = max(m.options.Room(), 0)
 	}
--- a/internal/jvreach/monitor_test.go
+++ b/internal/jvreach/monitor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -9,11 +10,16 @@
 	"pgregory.net/rapid"
 
 	"github.com/jasminevale/jasminevale/internal/jvcodec"
+	"github.com/jasminevale/jasminevale/internal/jvmember"
 	"github.com/jasminevale/jasminevale/internal/jvproperty"
 )
 
-// knownWithin is how long after a cut begins or ends a router has to know it.
-const knownWithin = time.Second
+// knownWithin is how long after a cut begins or ends a router has to know it, knownAmongDead how long it may take to
+// find one while most targets are down.
+const (
+	knownWithin    = time.Second
+	knownAmongDead = 3 * time.Second
+)
 
 // TestCut guards against a router that goes on with targets that it does not reach, or stays away from them after the
 // cut (incident RECOVER, issue 24): one, or most, of 6 and 83 routers are cut off from all targets.
@@ -143,56 +149,269 @@
 	})
 }
 
+// TestDeadTargetsAreNoCut guards against taking many targets that are down for a cut of the own link, by which a sound
+// target is lost sight of (issue 27, odd entries): one of 25 is sound, and the router has other routers or none.
+func TestDeadTargetsAreNoCut(t *testing.T) {
+	for _, routers := range []int{1, 3, 6} {
+		for _, hang := range []bool{false, true} {
+			for _, work := range []time.Duration{0, 600 * time.Millisecond} {
+				t.Run(fmt.Sprintf("%d routers, hang=%t, work=%s", routers, hang, work), func(t *testing.T) {
+					inFleet(t, routers, 25, func(f *fleet) {
+						f.change(func(n *network) {
+							n.hang, n.work = hang, work
+							for _, g := range f.targets[1:] {
+								n.down[g.Name] = true
+							}
+						})
+						f.drive(20 * time.Second)
+						for n, r := range f.routers {
+							require.Zero(t, f.findings(r), "router %d", n)
+						}
+					})
+				})
+			}
+		}
+	}
+}
+
+// TestCutAmongDeadTargets guards against a router that does not find a cut, or its end, since most targets are down: it
+// tried random ones.
+func TestCutAmongDeadTargets(t *testing.T) {
+	for _, hang := range []bool{false, true} {
+		t.Run(fmt.Sprintf("hang=%t", hang), func(t *testing.T) {
+			inFleet(t, 6, 25, func(f *fleet) {
+				f.change(func(n *network) {
+					n.hang = hang
+					for _, g := range f.targets[2:] {
+						n.down[g.Name] = true
+					}
+				})
+				f.drive(2 * time.Second)
+				r := f.routers[0]
+				f.cutOff(r, f.targets)
+				f.drive(knownAmongDead)
+				require.True(t, r.Unreachable("target-0"))
+				require.True(t, r.Unreachable("target-1"))
+				f.cutOff(r, nil)
+				f.drive(knownWithin)
+				require.Zero(t, r.Count())
+				require.Subset(t, r.recovered, []string{"target-0", "target-1"})
+			})
+		})
+	}
+}
+
+// TestIdleRouterFindsCut guards against a router that does not find a cut, since it knows no target that has answered
+// it and most are down.
+func TestIdleRouterFindsCut(t *testing.T) {
+	for _, hang := range []bool{false, true} {
+		t.Run(fmt.Sprintf("hang=%t", hang), func(t *testing.T) {
+			inFleet(t, 6, 25, func(f *fleet) {
+				r := f.routers[0]
+				f.idle = r
+				f.change(func(n *network) {
+					n.hang = hang
+					for _, g := range f.targets[2:] {
+						n.down[g.Name] = true
+					}
+				})
+				f.cutOff(r, f.targets)
+				f.drive(time.Second)
+				f.idle = nil
+				f.drive(knownAmongDead)
+				require.True(t, r.Unreachable("target-0") || r.Unreachable("target-1"))
+			})
+		})
+	}
+}
+
+// TestUnreachableEnds guards against holding a target that is down for everyone for unreachable, after it was
+// unreachable from here: requests would go through other routers, and its crash would not be known.
+func TestUnreachableEnds(t *testing.T) {
+	inFleet(t, 6, 20, func(f *fleet) {
+		r := f.routers[0]
+		f.cutOff(r, f.targets[:3])
+		f.drive(2 * time.Second)
+		require.Equal(t, 3, r.Count())
+		f.change(func(n *network) { n.down["target-0"] = true })
+		f.drive(2 * downInterval)
+		require.False(t, r.Unreachable("target-0"))
+		require.True(t, r.Unreachable("target-1"))
+	})
+}
+
+// TestMessagesOfOtherBuilds guards against messages that routers of the release before this one can't read, or of
+// which a router of this one concludes too much: those don't name the targets that responded.
+func TestMessagesOfOtherBuilds(t *testing.T) {
+	type oldAnswer struct {
+		Number  uint64   `cbor:"number"`
+		From    string   `cbor:"from"`
+		Cut     bool     `cbor:"cut,omitempty"`
+		Room    int64    `cbor:"room"`
+		Reached []string `cbor:"reached,omitempty"`
+		Contact bool     `cbor:"contact,omitempty"`
+	}
+	type oldMessage struct {
+		Question *question  `cbor:"ask,omitempty"`
+		Answer   *oldAnswer `cbor:"answer,omitempty"`
+	}
+	old, err := jvcodec.Decode[oldMessage](jvcodec.Encode(message{Answer: &answer{Number: 7, From: "router-1", Room: 3, Contact: true, Responded: []string{"target-0"}}}))
+	require.NoError(t, err)
+	require.Equal(t, &oldAnswer{Number: 7, From: "router-1", Room: 3, Contact: true}, old.Answer)
+	m, err := decodeMessage(jvcodec.Encode(oldMessage{Answer: old.Answer}))
+	require.NoError(t, err)
+	require.Equal(t, &answer{Number: 7, From: "router-1", Room: 3, Contact: true}, m.Answer)
+
+	for _, sound := range []bool{true, false} { // The router reaches one target of 25, or none.
+		t.Run(fmt.Sprintf("sound=%t", sound), func(t *testing.T) {
+			inFleet(t, 2, 25, func(f *fleet) {
+				r := f.routers[0]
+				f.change(func(n *network) { n.dead["router-1"] = true }) // It answers as follows instead.
+				r.options.Send = func(_ jvmember.Member, data []byte) {
+					m, err := decodeMessage(data)
+					require.NoError(t, err)
+					a := &oldAnswer{Number: m.Question.Number, From: "router-1", Room: 3, Contact: m.Question.Contact > 0, Reached: m.Question.Targets}
+					time.AfterFunc(time.Millisecond, func() { _ = r.Receive(jvcodec.Encode(oldMessage{Answer: a}), nil) })
+				}
+				f.cutOff(r, f.targets[1:])
+				if !sound {
+					f.cutOff(r, f.targets)
+				}
+				f.drive(3 * time.Second)
+				require.Equal(t, !sound, r.Cut())
+			})
+		})
+	}
+}
+
 // reachEvent is a disturbance of a history.
 type reachEvent struct {
 	Kind   int
 	Router int
+	// Share is a percentage of targets.
+	Share int
 }
 
-// TestReachHistories guards against histories after which a router does not know what it reaches: cuts of routers
-// from some targets or all, targets that are down, and routers that don't answer.
+// apply makes the event happen.
+func (e reachEvent) apply(f *fleet) {
+	r := f.routers[e.Router%len(f.routers)]
+	some := f.targets[:max(1, len(f.targets)*e.Share/100)]
+	downOf := func(targets []Target) func(n *network) {
+		return func(n *network) {
+			for _, t := range targets {
+				n.down[t.Name] = true
+			}
+		}
+	}
+	switch e.Kind {
+	case 0:
+		f.cutOff(r, f.targets)
+	case 1:
+		f.cutOff(r, f.targets[:4])
+	case 2:
+		f.change(downOf([]Target{f.targets[e.Router%len(f.targets)]}))
+	case 3:
+		f.change(func(n *network) { clear(n.down) })
+	case 4:
+		f.change(func(n *network) { n.dead[r.member.Name] = true })
+	case 5:
+		f.change(func(n *network) { clear(n.dead) })
+	case 6, 7: // Dead entries, or a pool that is down.
+		f.change(downOf(some))
+	case 8: // Slow or overloaded servers.
+		f.change(func(n *network) { n.work = time.Duration(e.Share) * 20 * time.Millisecond })
+	case 9:
+		f.change(func(n *network) { n.work = 0 })
+	default:
+		f.cutOff(r, nil)
+	}
+}
+
+// mayFind reports whether a router may find that targets are unreachable: others reach some that it does not, or no
+// target is sound.
+func (f *fleet) mayFind(r *router) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	sound := slices.ContainsFunc(f.targets, func(t Target) bool { return !f.down[t.Name] })
+	return len(f.lost[r.member.Name]) > 0 || !sound
+}
+
+// TestReachHistories guards against histories after which a router does not know what it reaches, or in which it finds a
+// cut that there is not: cuts of routers from some targets or all, dead targets among sound ones, a pool that is down,
+// slow servers, and routers that don't answer.
 func TestReachHistories(t *testing.T) {
 	jvproperty.CheckSlow(t, func(rt *rapid.T) {
 		events := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) reachEvent {
-			return reachEvent{Kind: rapid.IntRange(0, 6).Draw(rt, "kind"), Router: rapid.IntRange(0, 50).Draw(rt, "router")}
+			return reachEvent{
+				Kind: rapid.IntRange(0, 10).Draw(rt, "kind"), Router: rapid.IntRange(0, 50).Draw(rt, "router"), Share: rapid.IntRange(1, 90).Draw(rt, "share"),
+			}
 		}), 1, 10).Draw(rt, "events")
 		hang := rapid.Bool().Draw(rt, "hang")
-		inFleet(t, 6, 12, func(f *fleet) {
+		targets := rapid.IntRange(5, 30).Draw(rt, "targets")
+		var fault string // A failure inside of inFleet would end the process.
+		inFleet(t, 6, targets, func(f *fleet) {
 			f.change(func(n *network) { n.hang = hang })
-			for _, e := range events {
-				r := f.routers[e.Router%len(f.routers)]
-				switch e.Kind {
-				case 0:
-					f.cutOff(r, f.targets)
-				case 1:
-					f.cutOff(r, f.targets[:4])
-				case 2:
-					f.change(func(n *network) { n.down[f.targets[e.Router%len(f.targets)].Name] = true })
-				case 3:
-					f.change(func(n *network) { clear(n.down) })
-				case 4:
-					f.change(func(n *network) { n.dead[r.member.Name] = true })
-				case 5:
-					f.change(func(n *network) { clear(n.dead) })
-				default:
-					f.cutOff(r, nil)
-				}
-				f.drive(500 * time.Millisecond)
-			}
-			f.change(func(n *network) { clear(n.lost); clear(n.down); clear(n.dead) })
-			f.drive(2 * knownWithin)
-			for n, r := range f.routers {
-				require.Zero(rt, r.Count(), "router %d", n)
+			if fault = f.playHistory(events); fault == "" {
+				fault = f.endHistory()
 			}
-			f.cutOff(f.routers[0], f.targets)
-			f.drive(2 * knownWithin)
-			require.True(rt, f.routers[0].Cut())
-			_, ok := f.routers[0].SelectPeer(nil)
-			require.True(rt, ok)
 		})
+		require.Empty(rt, fault)
 	})
 }
 
+// playHistory makes events happen. It returns a false finding of a router, or "".
+func (f *fleet) playHistory(events []reachEvent) string {
+	const step = 500 * time.Millisecond
+	couldFind := make([]int, len(f.routers)) // The step in which the router last was allowed to.
+	for n := range couldFind {
+		couldFind[n] = -len(events)
+	}
+	before := make([]int, len(f.routers))
+	for at, e := range events {
+		noteFindable := func() {
+			for n, r := range f.routers {
+				if f.mayFind(r) {
+					couldFind[n] = at
+				}
+			}
+		}
+		noteFindable()
+		for n, r := range f.routers {
+			before[n] = f.findings(r)
+		}
+		e.apply(f)
+		noteFindable()
+		f.drive(step)
+		for n, r := range f.routers {
+			// What is found soon after may be from before.
+			if time.Duration(at-couldFind[n])*step > knownWithin && f.findings(r) > before[n] {
+				return fmt.Sprintf("false finding of router %d after event %d", n, at)
+			}
+		}
+	}
+	return ""
+}
+
+// endHistory heals the network, and then cuts a router off. It returns what the routers don't know of that, or "".
+func (f *fleet) endHistory() string {
+	f.change(func(n *network) { clear(n.lost); clear(n.down); clear(n.dead); n.work = 0 })
+	f.drive(2 * knownWithin)
+	for n, r := range f.routers {
+		if r.Count() > 0 {
+			return fmt.Sprintf("router %d does not know that it reaches all targets", n)
+		}
+	}
+	f.cutOff(f.routers[0], f.targets)
+	f.drive(2 * knownWithin)
+	if !f.routers[0].Cut() {
+		return "a router does not know that it is cut off"
+	}
+	if _, ok := f.routers[0].SelectPeer(nil); !ok {
+		return "a router knows of none that takes its requests"
+	}
+	return ""
+}
+
 // FuzzReceive guards against messages that end the process, or that make a router connect to many targets.
 func FuzzReceive(f *testing.F) {
 	f.Add(jvcodec.Encode(message{Question: &question{Number: 1, Targets: []string{"target-0"}}}))
--- a/internal/jvreach/options.go
+++ b/internal/jvreach/options.go
@@ -59,17 +59,23 @@
 	connectTimeout = 250 * time.Millisecond
 	// answerTimeout is how long other routers take to connect and to answer.
 	answerTimeout = connectTimeout + 100*time.Millisecond
-	// A check connects to sampleSuspects targets to which connections failed, and to sampleOthers others, so
-	// that a few failed targets don't look like a cut. askedRouters are asked for those that it can't reach.
+	// A check connects to sampleSuspects targets to which connections failed, to sampleRecent that have responded
+	// in the last answerAge, and to sampleOthers others, so that failed targets don't look like a cut.
+	// askedRouters are asked for those that it can't reach.
 	sampleSuspects = 6
+	sampleRecent   = 3
 	sampleOthers   = 3
 	askedRouters   = 3
+	answerAge      = 3 * time.Second // Two checks whose connections hang, with their pauses.
+	// sampleAll limits the targets to which a router connects that knows of none which answers others.
+	sampleAll = 64
 	// contactTime is the time in which a busy router has a response of some target, contactWait how long a
 	// question about that waits for answers.
 	contactTime = 100 * time.Millisecond
 	contactWait = 60 * time.Millisecond
-	// maxProbed limits the targets of a question.
-	maxProbed = 16
+	// maxProbed limits the targets of a question, maxResponded those that an answer names as having responded.
+	maxProbed    = 16
+	maxResponded = 8
 	// silenceTime is how long all targets have to be silent, while attempts are in progress, for a check.
 	silenceTime = 300 * time.Millisecond
 	// checkInterval is the interval at which silence is looked for.
@@ -82,9 +88,13 @@
 	failureAge  = time.Second
 	minFailures = 2
 	// retryInterval is the interval at which unreachable targets are tried, retryTargets the number of those
-	// that are tried at a time.
+	// that answer others, and in a cut of others by turns, that are tried at a time. It is retryAny of the others if
+	// none that answers is known.
 	retryInterval = 200 * time.Millisecond
 	retryTargets  = 3
+	retryAny      = 8
+	// downInterval is the time between two questions whether unreachable targets still answer others.
+	downInterval = time.Second
 	// statusInterval is the time between two questions for the state of the other routers while targets are
 	// unreachable, statusAge how long an answer counts.
 	statusInterval = 250 * time.Millisecond
--- a/internal/jvrelay/attempt.go
+++ b/internal/jvrelay/attempt.go
@@ -69,8 +69,8 @@
 		r.options.Reach.End()
 		return nil, err
 	}
-	response.Body = &contactBody{ReadCloser: response.Body, reach: r.options.Reach}
-	r.options.Reach.Contact()
+	response.Body = &contactBody{ReadCloser: response.Body, reach: r.options.Reach, target: d.Target.Name}
+	r.options.Reach.Contact(d.Target.Name)
 	if response.Load != nil {
 		r.targets.RecordLoad(a.pool, d.Target.Name, *response.Load)
 	}
@@ -89,6 +89,7 @@
 	io.ReadCloser
 
 	reach  *jvreach.Monitor
+	target string
 	closed bool
 }
 
@@ -96,7 +97,7 @@
 func (b *contactBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if n > 0 {
-		b.reach.Contact()
+		b.reach.Contact(b.target)
 	}
 	return n, err
 }
