jvtarget: probe targets that refuse connections, instead of sending requests

What callers saw: with 24 of 25 targets refusing connections, a request that met three of them was refused, although the sound target was idle, and each dead target took a request again after each pause of 0.2 to 10 s.

Cause: a refused connection counted as one of three attempts that no target runs, though it costs a round trip and nothing was sent. After two, the request went to another router, which tried one target only. Requests themselves found out whether a target was back, with pauses of up to 10 s.

Now the first refused connection deselects a target. It is probed 100 ms later, then each 0.2, 0.4 and 0.8 s, and is used again at once when it accepts; 32 probes each 100 ms at most. Requests wait for such a target for 1.5 s, as long as for one that failed three times before. Up to 32 refused connections of a request don't count as attempts; after a first failure, targets that answered in the last 10 s are preferred. A router that makes an attempt for another one goes on to its next target as well, and two other routers at most are tried on the suspicion that the own link is at fault.

Findings are not shared by message: a refusal costs each router one round trip for each dead target, and one that is cut off would mislead the others.

--- a/internal/jvrelay/active.go
+++ b/internal/jvrelay/active.go
@@ -47,11 +47,13 @@
 	// the request.
 	avoid  []string
 	failed []string
-	// unsent counts the attempts of this router that reached no target, peers are the routers through which
-	// attempts failed, and via is the router of the latest attempt, if it is another one.
-	unsent int
-	peers  []string
-	via    string
+	// unsent counts the attempts of this router that reached no target, refusals those among them whose target
+	// refused the connection. peers are the routers through which attempts failed, and via is the router of the
+	// latest attempt, if it is another one.
+	unsent   int
+	refusals int
+	peers    []string
+	via      string
 	// target is the name of the latest attempt's target.
 	target string
 	// reserveWait is the time from the request's arrival until Reserve returned.
--- a/internal/jvrelay/forward.go
+++ b/internal/jvrelay/forward.go
@@ -11,9 +11,23 @@
 	"github.com/jasminevale/jasminevale/internal/jvtarget"
 )
 
-// maxDirectUnsent is the number of attempts of one request that reach no target, after which it goes through another
-// router: this router's own link may be at fault.
-const maxDirectUnsent = 2
+const (
+	// maxDirectUnsent is the number of attempts of one request that reach no target, after which it goes through
+	// another router: this router's own link may be at fault.
+	maxDirectUnsent = 2
+	// maxGuessedPeers is the number of routers that are tried on that suspicion. After that it is the targets' fault.
+	maxGuessedPeers = 2
+)
+
+// maxRefusals is the number of targets whose machines may refuse connections of one request before it is refused. A
+// refusal takes a round trip, and keeps other requests from that target.
+const maxRefusals = 32
+
+// triesUnsent reports whether a request may be tried again whose latest attempt reached no target: maxNotRun attempts
+// are made, beside those that were refused a connection.
+func (a *activeRequest) triesUnsent(maxNotRun int) bool {
+	return a.refusals <= maxRefusals && a.notRun-a.refusals < maxNotRun
+}
 
 // try is one attempt: at a target by this router, or through another router, which selects the target.
 type try struct {
@@ -25,12 +39,14 @@
 // nextTry returns the next attempt of a request. It goes through another router if targets that would accept it are
 // reachable only from there.
 func (r *Relay) nextTry(ctx context.Context, a *activeRequest) (try, error) {
-	if a.unsent >= maxDirectUnsent {
+	if a.unsent >= maxDirectUnsent && len(a.peers) < maxGuessedPeers {
 		if peer, ok := r.options.Reach.SelectPeer(a.peers); ok {
 			return try{peer: peer, forwarded: true}, nil
 		}
 	}
-	lease, err := r.targets.Acquire(ctx, r.slotRequest(a))
+	s := r.slotRequest(a)
+	s.PreferAnswered = a.unsent > 0
+	lease, err := r.targets.Acquire(ctx, s)
 	if err == nil {
 		return try{lease: lease}, nil
 	}
@@ -89,6 +105,9 @@
 	} else {
 		a.failed = append(a.failed, t.lease.Target.Name)
 	}
+	if errors.Is(err, ErrConnectionRefused) {
+		a.refusals++
+	}
 	r.recordTargetFailure(ctx, a, t.lease.Target, kind, err)
 }
 
@@ -101,6 +120,7 @@
 	switch {
 	case errors.Is(err, ErrConnectionRefused):
 		if !r.options.Reach.Unreachable(target.Name) {
+			r.targets.RecordRefused(a.pool, target.Name)
 			r.registry.markEnded(target.Name)
 		}
 	case kind == KindBroken:
--- a/internal/jvrelay/peer.go
+++ b/internal/jvrelay/peer.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 
 	"github.com/pkg/errors"
 
@@ -34,22 +35,13 @@
 		r.Leave()
 		_ = r.reportPeer(a, from, err)
 	}
-	s := d.Selection
-	lease, err := r.targets.Acquire(ctx, jvtarget.Request{
-		Pool: s.Pool, Attempt: fmt.Sprintf("%s@%s.%d", d.Request.ID, from, startedAt.UnixNano()), Prefix: s.Prefix, Digest: s.Features.Request[:],
-		Priority: -d.Priority, Avoid: s.Avoid, Deadline: a.deadline, Bound: s.Bound, Version: s.Version,
-	})
-	if err != nil {
+	lease, response, err := r.tryForPeer(ctx, a, d, fmt.Sprintf("%s@%s.%d", d.Request.ID, from, startedAt.UnixNano()))
+	if err != nil && a.target == "" {
 		cancel()
 		remove()
 		r.Leave()
 		return nil, r.reportPeer(a, from, jvfault.New(op, KindUnsent, err))
 	}
-	a.startAttempt(startedAt, try{lease: lease})
-	a.setTarget(lease.Target, r.registry.startedAt(lease.Target.Name))
-	d.Target = lease.Target
-	d.Timeout = a.deadline.Sub(r.options.Timer.Now())
-	response, err := r.send(ctx, a, d)
 	if err != nil {
 		err = r.classify(ctx, err)
 		end(lease, err)
@@ -68,6 +60,33 @@
 	return response, nil
 }
 
+// tryForPeer makes an attempt for another router, at the first target that does not refuse the connection. The request
+// has no target after an error without an attempt.
+func (r *Relay) tryForPeer(ctx context.Context, a *activeRequest, d Dispatch, attempt string) (lease jvtarget.Lease, response *Response, err error) {
+	s := d.Selection
+	for {
+		lease, err = r.targets.Acquire(ctx, jvtarget.Request{
+			Pool: s.Pool, Attempt: fmt.Sprintf("%s.%d", attempt, a.attempts), Prefix: s.Prefix, Digest: s.Features.Request[:],
+			Priority: -d.Priority, Avoid: slices.Concat(a.avoid, s.Avoid), PreferAnswered: true, Deadline: a.deadline, Bound: s.Bound, Version: s.Version,
+		})
+		if err != nil {
+			a.target = ""
+			return lease, nil, err
+		}
+		a.startAttempt(r.options.Timer.Now(), try{lease: lease})
+		a.setTarget(lease.Target, r.registry.startedAt(lease.Target.Name))
+		d.Target = lease.Target
+		d.Timeout = a.deadline.Sub(r.options.Timer.Now())
+		response, err = r.send(ctx, a, d)
+		if !errors.Is(err, ErrConnectionRefused) || len(a.avoid) == maxRefusals || ctx.Err() != nil {
+			return lease, response, err
+		}
+		lease.Release(resultOf(err))
+		a.avoid = append(a.avoid, lease.Target.Name)
+		r.recordTargetFailure(ctx, a, lease.Target, KindUnsent, err)
+	}
+}
+
 // reportPeer writes the log line of an attempt for another router and records its metrics. It returns err.
 func (r *Relay) reportPeer(a *activeRequest, from string, err error) error {
 	kind := jvfault.KindOf[Kind](err)
--- a/internal/jvrelay/relay.go
+++ b/internal/jvrelay/relay.go
@@ -44,6 +44,7 @@
 		r.crashes.expire()
 		r.retries.resize()
 	})
+	o.Timer.Every(probeInterval, r.probeRefusing)
 	return r
 }
 
--- a/internal/jvrelay/serve.go
+++ b/internal/jvrelay/serve.go
@@ -230,9 +230,9 @@
 		return notRun("deadline", "the deadline passed before a target accepted the request", targetRetryAfter), true
 	case a.sealed:
 		return mayHaveRun(err.Error()), true
-	case kind == KindUnsent && a.notRun < r.options.MaxNotRun:
+	case kind == KindUnsent && a.triesUnsent(r.options.MaxNotRun):
 		return nil, false
-	case kind == KindRefused && a.notRun < r.options.MaxNotRun && r.retries.budget(a.pool).Spend():
+	case kind == KindRefused && a.notRun-a.refusals < r.options.MaxNotRun && r.retries.budget(a.pool).Spend():
 		return nil, false
 	case a.possibleRuns == 0:
 		return notRun("overloaded", "no target accepted the request: "+err.Error(), targetRetryAfter), true
--- a/internal/jvtarget/acquire.go
+++ b/internal/jvtarget/acquire.go
@@ -26,8 +26,10 @@
 	// Priority orders waiting requests; larger values go first.
 	Priority int
 	// Avoid names targets on which earlier attempts failed.
-	Avoid    []string
-	Deadline time.Time
+	Avoid []string
+	// PreferAnswered selects one of the targets that have answered lately, if any of them has a free slot.
+	PreferAnswered bool
+	Deadline       time.Time
 	// Bound restricts the request to targets of a version of the software. If Version is empty, none will do.
 	Bound   bool
 	Version string
@@ -133,7 +135,7 @@
 	for name, g := range p.targets {
 		wait, limited := t.limiter.Wait(name)
 		switch {
-		case g.leaving, !q.acceptsVersion(g.config), t.unreachable(name):
+		case g.leaving, !q.acceptsVersion(g.config), t.unreachable(name), g.health.refusal != nil:
 		case !limited && brittle:
 			slots += shareOf(name, g.config.Slots, index, n)
 		case !limited:
--- a/internal/jvtarget/candidate.go
+++ b/internal/jvtarget/candidate.go
@@ -13,6 +13,8 @@
 	Busy int64
 	// SameZone is true if the target is in the router's own availability zone.
 	SameZone bool
+	// Answered is true if the target has responded lately and not failed since.
+	Answered bool
 }
 
 // Weights are how selection weighs load against other criteria, as shares of a target's slots.
--- a/internal/jvtarget/health.go
+++ b/internal/jvtarget/health.go
@@ -17,10 +17,12 @@
 	failures    int
 	pausedUntil time.Time
 	probing     bool
+	// refusal is set while the target refuses connections.
+	refusal *refusal
 }
 
 func (h *health) usable(now time.Time) bool {
-	return h.failures == 0 || (!now.Before(h.pausedUntil) && !h.probing)
+	return h.refusal == nil && (h.failures == 0 || (!now.Before(h.pausedUntil) && !h.probing))
 }
 
 func (h *health) selected() { h.probing = h.failures > 0 }
@@ -35,4 +37,9 @@
 }
 
 // worthWaiting reports whether requests should wait for the target to become usable again.
-func (h *health) worthWaiting() bool { return h.failures <= waitableFailures }
+func (h *health) worthWaiting(now time.Time) bool {
+	if h.refusal != nil {
+		return now.Sub(h.refusal.since) < waitableRefusal
+	}
+	return h.failures <= waitableFailures
+}
--- a/internal/jvtarget/table.go
+++ b/internal/jvtarget/table.go
@@ -294,7 +294,8 @@
 		if brittle && !g.hasShare(shareOf(name, g.config.Slots, index, n), busy, now) {
 			continue
 		}
-		list = append(list, Candidate{Name: name, Slots: g.config.Slots, Busy: busy, SameZone: g.config.Zone == t.zone})
+		answered := g.health.failures == 0 && !g.respondedAt.IsZero() && now.Sub(g.respondedAt) < answeredAge
+		list = append(list, Candidate{Name: name, Slots: g.config.Slots, Busy: busy, SameZone: g.config.Zone == t.zone, Answered: answered})
 	}
 	slices.SortFunc(list, func(a, b Candidate) int {
 		if a.Name < b.Name {
@@ -308,7 +309,7 @@
 // worthWaiting reports whether requests should wait for a target of the pool.
 func (p *pool) worthWaiting(t *Table, q Request) bool {
 	for name, g := range p.targets {
-		if accepted, _ := t.inService(g, q); accepted && !t.unreachable(name) && g.health.worthWaiting() && q.accepts(g.config) {
+		if accepted, _ := t.inService(g, q); accepted && !t.unreachable(name) && g.health.worthWaiting(t.timer.Now()) && q.accepts(g.config) {
 			return true
 		}
 	}
@@ -324,6 +325,9 @@
 	if len(list) == 0 {
 		return Lease{}, KindOverloaded
 	}
+	if q.PreferAnswered {
+		list = preferAnswered(list)
+	}
 	i := t.weights.Select(list, q.Prefix, t.random)
 	if i < 0 {
 		return Lease{}, KindOverloaded
