jvrelay: short grace periods keep enough for the exit of a slow process

A process that runs 20 ms of each 100 exited 2.96 to 2.98 s after SIGTERM at a grace of 3 s, 0.02 s before the kill: a twelfth of 3 s is too little for the return and the exit, which don't get shorter with the grace period.

They now have 0.3 s each, as long as the drain still ends within the last sixth.

--- a/internal/jvrelay/stop.go
+++ b/internal/jvrelay/stop.go
@@ -17,14 +17,17 @@
 const (
 	// noticeTime covers a load balancer that polls once a second and acts on the second failure.
 	noticeTime = 2500 * time.Millisecond
-	// maxReturnTime covers a few slow calls of the log.
+	// minReturnTime covers one call of the log by a process that runs a fifth of the time, maxReturnTime a few slow
+	// calls.
+	minReturnTime = 300 * time.Millisecond
 	maxReturnTime = 750 * time.Millisecond
 )
 
-// PlanStop divides a grace period. Requests in progress have all of it but the second half of its last sixth:
-// whatever ends before the last sixth must end whole, and what the router holds unused is returned meanwhile.
+// PlanStop divides a grace period. Requests in progress have all of it but a part of its last sixth: whatever ends
+// before the last sixth must end whole, and what the router holds unused is returned meanwhile.
 func PlanStop(grace time.Duration) StopPlan {
-	p := StopPlan{Notice: min(noticeTime, grace/3), Return: min(maxReturnTime, grace/24)}
+	const lastPart = 0.15 // Less than a sixth.
+	p := StopPlan{Notice: min(noticeTime, grace/3), Return: min(maxReturnTime, max(grace/24, minReturnTime), time.Duration(lastPart/2*float64(grace)))}
 	p.Drain = grace - p.Notice - 2*p.Return
 	return p
 }
