--- a/internal/jvrelay/stop.go
+++ b/internal/jvrelay/stop.go
@@ -78,5 +78,8 @@
 // DrainEnd returns when the drain ends, as the time since the stop began.
 func (p StopPlan) DrainEnd() time.Duration { return p.Notice + p.Drain }
 
-// ReturnEnd returns when the return ends, as the time since the stop began.
-func (p StopPlan) ReturnEnd() time.Duration { return p.DrainEnd() + p.Return }
+// ReturnEnd returns when the return ends after a drain that has ended at a time, both as times since the stop began.
+// A drain that ends early leaves a limited time for it: the router's successor waits for the end of the process.
+func (p StopPlan) ReturnEnd(drained time.Duration) time.Duration {
+	return min(drained+maxReturnTime, p.DrainEnd()+p.Return)
+}
--- a/internal/jvrelay/stop_test.go
+++ b/internal/jvrelay/stop_test.go
@@ -20,7 +20,8 @@
 		require.GreaterOrEqual(r, p.Drain, p.Notice, "requests that arrive at the end of the notice have as long as the notice")
 		require.GreaterOrEqual(r, p.Return, time.Duration(0))
 		margin := min(750*time.Millisecond, grace/24) // The process exits within it, also with a fifth of a processor.
-		require.LessOrEqual(r, p.ReturnEnd(), grace-margin)
+		require.LessOrEqual(r, p.ReturnEnd(p.DrainEnd()), grace-margin)
+		require.LessOrEqual(r, p.ReturnEnd(p.Notice), p.Notice+time.Second, "a router without requests doesn't wait for the store for long")
 		require.GreaterOrEqual(r, p.Return, margin, "the return has as long")
 	})
 }
