--- a/internal/jvfleet/stop.go
+++ b/internal/jvfleet/stop.go
@@ -12,17 +12,21 @@
 	stopPoll = 20 * time.Millisecond
 	// returnInterval is the interval at which it returns tokens that have become unused.
 	returnInterval = 200 * time.Millisecond
-	// maxReturnTime covers a few slow calls of the log.
+	// minReturnTime covers a call of the log, maxReturnTime a few slow ones.
+	minReturnTime = 300 * time.Millisecond
 	maxReturnTime = 5 * time.Second
 )
 
 // returnTime returns the part of a stop's time that is kept for returning what is left after the drain. As much
 // again is left for sending the ends of responses.
-func returnTime(limit time.Duration) time.Duration { return min(maxReturnTime, limit/24) }
+func returnTime(limit time.Duration) time.Duration {
+	const lastPart = 0.15 // Less than a sixth.
+	return min(maxReturnTime, max(limit/24, minReturnTime), time.Duration(lastPart/2*float64(limit)))
+}
 
 // Stop drains the router: it refuses new requests, waits for those in progress, returns the tokens
 // that it holds of every budget, meanwhile and at the end, and closes. It ends when ctx ends or in less than
-// StopTimeout, of which requests have all but the second half of the last sixth.
+// StopTimeout, of which requests have all but a part of the last sixth.
 func (rt *Router) Stop(ctx context.Context) {
 	rt.stopOnce.Do(func() {
 		startedAt := rt.options.Timer.Now()
