platform: keep the part of limits until the drain of a stop is over

What callers saw: while a stream was still open on a stopping router, requests that it accepted after the notice, for a pool whose targets name limits, were refused after their whole timeout of 4 s, or got no response when the drain ended. New connections, as from a load balancer without another ready machine, and kept ones of streams that had ended were both affected.

Cause: the router left the sharing of limits at the first moment of the drain in which no request waited for its response, and may send nothing to a target with a limit afterwards. It still accepted requests, and a begun stream that needs another target did not count as waiting.

Now the router leaves once the drain is over: its port accepts nothing then, and nothing is open. Until then its part of the limits is not free for the others, up to 7.3 s instead of 2.5 s at a grace of 8 s, if it has open requests as long.

--- a/internal/jvlimit/limits.go
+++ b/internal/jvlimit/limits.go
@@ -58,7 +58,7 @@
 	running.Wait()
 }
 
-// Leave removes this router from the members, in the background. It uses no limit afterwards.
+// Leave removes this router from the members, in the background. It sends nothing to targets with limits afterwards.
 func (l *Limits) Leave() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -72,7 +72,7 @@
 	l.publisher.Put(jvkeyed.Record{Key: routerPrefix + l.options.Router}) // It replaces a registration that waits.
 }
 
-// Close leaves, and waits until the topic has confirmed it, until ctx ends at the latest.
+// Close leaves, and waits until the topic has confirmed it, until ctx ends at the latest. Run must be running.
 func (l *Limits) Close(ctx context.Context) {
 	l.Leave()
 	l.publisher.Wait(ctx, routerPrefix+l.options.Router)
--- a/internal/jvrelay/open.go
+++ b/internal/jvrelay/open.go
@@ -129,21 +129,6 @@
 	return c
 }
 
-// Waiting returns the number of requests and attempts for other routers whose response has not begun.
-func (r *Relay) Waiting() int {
-	r.open.mu.Lock()
-	defer r.open.mu.Unlock()
-	n := 0
-	for o := range r.open.all {
-		o.update(func(o *openRequest) {
-			if !o.begun {
-				n++
-			}
-		})
-	}
-	return n
-}
-
 // EndDrain makes the requests in progress count as cut, since their connections close. It writes a line for each
 // of them and each attempt for another router, the oldest first.
 func (r *Relay) EndDrain() {
