jvrelay: answer the requests that still wait when the drain of a stop ends

What callers saw: requests that a stopping router had accepted and sent nowhere, as they waited for a slot, got no response. Their connections closed at the end of the drain, 5.40 s after SIGTERM at a grace of 6 s.

Cause: the end of the drain only closed the connections. Waits for slots, tokens, limits, claims of trials and versions ended with their requests' contexts, whose callers were gone by then.

Evidence: TestStopAnswersWaiting (one slot, occupied by a stream): 6 of 7 requests without a response, at graces of 3 and of 6 s, and run by no server.

Now the last 50 to 100 ms of the drain are for responses of the router: requests without a response are canceled with a cause of their own. What has not run gets a 503 with a short Retry-After, what may have run a 502; begun streams go on until the drain ends. Requests that come later are refused at once. Attempts canceled like this have a kind of their own, which counts against no target, and end attempts for other routers too: those that were not sent go elsewhere. That begins after five sixths of the grace period at least.

After: 6 of 7 refused, the stream cut by the end of the drain, at both graces in two runs of each; TestStopEndsStreams, TestStopRefusesWhatCannotEnd and TestStopOfARouterBetween pass.

--- a/internal/jvrelay/attempt.go
+++ b/internal/jvrelay/attempt.go
@@ -159,12 +159,15 @@
 	}
 }
 
-// classify turns err into a KindBroken error if the attempt was canceled because it stalled, and
-// into a KindCallerDisconnected error if the caller has disconnected.
+// classify turns err into a KindBroken error if the attempt was canceled because it stalled, into a KindStopped error
+// if this router's stop canceled it, and into a KindCallerDisconnected error if the caller has disconnected.
 func (r *Relay) classify(ctx context.Context, err error) error {
 	if err != nil && errors.Is(context.Cause(ctx), errStalled) {
 		return jvfault.New("attempt", KindBroken, errStalled)
 	}
+	if err != nil && stopped(ctx) && jvfault.KindOf[Kind](err) != KindUnsent {
+		return jvfault.New("attempt", KindStopped, errStopped)
+	}
 	if err != nil && errors.Is(context.Cause(ctx), context.Canceled) {
 		return jvfault.New("attempt", KindCallerDisconnected, err)
 	}
--- a/internal/jvrelay/error.go
+++ b/internal/jvrelay/error.go
@@ -25,6 +25,8 @@
 	KindCrossed Kind = "crossed"
 	// KindCallerDisconnected means that the caller has disconnected.
 	KindCallerDisconnected Kind = "gone"
+	// KindStopped means that this router's stop ended the attempt, which may have run.
+	KindStopped Kind = "stopped"
 )
 
 // ErrConnectionRefused is the cause of a KindUnsent error if nothing listens at the target's address.
--- a/internal/jvrelay/open.go
+++ b/internal/jvrelay/open.go
@@ -1,6 +1,7 @@
 package jvrelay
 
 import (
+	"context"
 	"net/http"
 	"slices"
 	"sync"
@@ -73,18 +74,25 @@
 // for concurrent use.
 type openRequests struct {
 	mu        sync.Mutex
-	all       map[*openRequest]bool
+	all       map[*openRequest]context.CancelCauseFunc
 	stoppedAt time.Time
 	counts    StopCounts
+	// waitsEnded is true once requests without a response have been canceled.
+	waitsEnded bool
 }
 
-func newOpenRequests() *openRequests { return &openRequests{all: map[*openRequest]bool{}} }
+func newOpenRequests() *openRequests {
+	return &openRequests{all: map[*openRequest]context.CancelCauseFunc{}}
+}
 
-// add adds a request; the returned function removes it.
-func (r *openRequests) add(o *openRequest) (remove func()) {
+// add adds a request, which cancel ends; the returned function removes it.
+func (r *openRequests) add(o *openRequest, cancel context.CancelCauseFunc) (remove func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.all[o] = true
+	r.all[o] = cancel
+	if r.waitsEnded {
+		cancel(errStopped)
+	}
 	return func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
@@ -92,6 +100,22 @@
 	}
 }
 
+// endWaits cancels the requests whose response has not begun, and those that come later.
+func (r *openRequests) endWaits() (ended int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.waitsEnded = true
+	for o, cancel := range r.all {
+		o.update(func(o *openRequest) {
+			if !o.begun {
+				ended++
+				cancel(errStopped)
+			}
+		})
+	}
+	return ended
+}
+
 // stop starts the counts.
 func (r *openRequests) stop(now time.Time) {
 	r.mu.Lock()
@@ -129,6 +153,14 @@
 	return c
 }
 
+// EndWaits ends the requests and attempts for other routers whose response has not begun, and those that come later.
+// A request that has not run is refused.
+func (r *Relay) EndWaits() {
+	if n := r.open.endWaits(); n > 0 {
+		r.options.Logger.Info("requests without a response ended", "requests", n)
+	}
+}
+
 // EndDrain makes the requests in progress count as cut, since their connections close. It writes a line for each
 // of them and each attempt for another router, the oldest first.
 func (r *Relay) EndDrain() {
--- a/internal/jvrelay/peer.go
+++ b/internal/jvrelay/peer.go
@@ -23,8 +23,13 @@
 	if r.Room() == 0 || r.options.Reach.Cut() || !r.Enter() {
 		return nil, r.reportPeer(a, from, jvfault.Newf(op, KindUnsent, "this router takes no requests of others now"))
 	}
-	remove := r.open.add(&a.open)
-	ctx, cancel := context.WithDeadline(ctx, a.deadline)
+	ctx, cancelCause := context.WithCancelCause(ctx)
+	remove := r.open.add(&a.open, cancelCause)
+	ctx, cancelDeadline := context.WithDeadline(ctx, a.deadline)
+	cancel := func() {
+		cancelDeadline()
+		cancelCause(nil)
+	}
 	end := func(lease jvtarget.Lease, err error) {
 		lease.Release(resultOf(err))
 		if err != nil {
--- a/internal/jvrelay/serve.go
+++ b/internal/jvrelay/serve.go
@@ -30,8 +30,13 @@
 	r.active.Add(1)
 	defer r.active.Add(-1)
 	a := newActiveRequest(q, c)
-	defer r.open.add(&a.open)()
-	p := r.handle(ctx, a)
+	waiting, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer r.open.add(&a.open, cancel)()
+	p := r.handle(waiting, a)
+	if stopped(waiting) && p != nil && p.Status == http.StatusServiceUnavailable {
+		p = stopping("this router stopped before a target ran the request")
+	}
 	if a.proven && a.status < http.StatusInternalServerError {
 		r.crashes.requestCompleted(a.completedFeatures())
 	}
@@ -54,7 +59,7 @@
 	if p := r.admit(a); p != nil {
 		return p
 	}
-	if p := r.refuseLate(a); p != nil {
+	if p := r.refuseLate(ctx, a); p != nil {
 		return p
 	}
 	if !r.options.Quarantine.Loaded() {
@@ -224,6 +229,8 @@
 		a.possibleRuns++
 	}
 	switch {
+	case stopped(ctx) && a.possibleRuns > 0:
+		return mayHaveRun("this router stopped before a complete response arrived"), true
 	case ctx.Err() != nil && a.possibleRuns > 0:
 		return expired("the deadline passed before a complete response arrived"), true
 	case ctx.Err() != nil:
--- a/internal/jvrelay/stop.go
+++ b/internal/jvrelay/stop.go
@@ -1,6 +1,11 @@
 package jvrelay
 
-import "time"
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+)
 
 // StopPlan divides the grace period of a planned stop.
 type StopPlan struct {
@@ -9,6 +14,8 @@
 	Notice time.Duration
 	// Drain is how long after that requests in progress may take.
 	Drain time.Duration
+	// Answer is the last part of Drain, in which requests without a response get one of the router.
+	Answer time.Duration
 	// Return is the time after that for returning what only then is unused. It leaves as much time again
 	// until the process is killed.
 	Return time.Duration
@@ -21,6 +28,8 @@
 	// calls.
 	minReturnTime = 300 * time.Millisecond
 	maxReturnTime = 750 * time.Millisecond
+	// maxAnswerTime covers the write of many responses.
+	maxAnswerTime = 100 * time.Millisecond
 )
 
 // PlanStop divides a grace period. Requests in progress have all of it but a part of its last sixth: whatever ends
@@ -29,6 +38,7 @@
 	const lastPart = 0.15 // Less than a sixth.
 	p := StopPlan{Notice: min(noticeTime, grace/3), Return: min(maxReturnTime, max(grace/24, minReturnTime), time.Duration(lastPart/2*float64(grace)))}
 	p.Drain = grace - p.Notice - 2*p.Return
+	p.Answer = min(maxAnswerTime, time.Duration((1.0/6-lastPart)*float64(grace)))
 	return p
 }
 
@@ -48,7 +58,11 @@
 
 // refuseLate returns the problem of a request that arrives while the router stops and can't be expected to end
 // before the drain does. It is nil for a request that ends by then, be it by its deadline.
-func (r *Relay) refuseLate(a *activeRequest) *Problem {
+func (r *Relay) refuseLate(ctx context.Context, a *activeRequest) *Problem {
+	const reason = "this router stops before the request would end"
+	if stopped(ctx) {
+		return stopping(reason)
+	}
 	s := r.stop.Load()
 	if s == nil || !a.deadline.After(s.drainEnd) {
 		return nil
@@ -66,9 +80,18 @@
 	if ends {
 		return nil
 	}
-	return notRun("stopping", "this router stops before the request would end", stopRetryAfter)
+	return stopping(reason)
 }
 
+// errStopped cancels requests without a response when the drain of a stop ends.
+var errStopped = errors.New("this router stops")
+
+// stopped reports whether a request was canceled since the drain of a stop ends.
+func stopped(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errStopped) }
+
+// stopping returns the problem of a request that did not run since this router stops.
+func stopping(message string) *Problem { return notRun("stopping", message, stopRetryAfter) }
+
 // stopTimes are the times of a planned stop in progress.
 type stopTimes struct {
 	noticeEnd time.Time
@@ -78,6 +101,9 @@
 // DrainEnd returns when the drain ends, as the time since the stop began.
 func (p StopPlan) DrainEnd() time.Duration { return p.Notice + p.Drain }
 
+// AnswerBegin returns when the drain's last part begins, as the time since the stop began.
+func (p StopPlan) AnswerBegin() time.Duration { return p.DrainEnd() - p.Answer }
+
 // ReturnEnd returns when the return ends after a drain that has ended at a time, both as times since the stop began.
 // A drain that ends early leaves a limited time for it: the router's successor waits for the end of the process.
 func (p StopPlan) ReturnEnd(drained time.Duration) time.Duration {
