jvforward: give the body of an authenticated attempt its own time

What callers saw: a request that goes through another router was not served if its body took more than 2 s on the way between the two. It failed as "ran: false, forward: broken", and may not be tried again.

Cause: the read deadline for heads, which bounds what a stranger can occupy, was in force until the whole body had arrived.

Evidence: TestSlowBody (a pause of 2.5 s before the last byte) failed: "broken: use of closed network connection".

Now the deadline is extended to the attempt's timeout once the head is authenticated.

--- a/internal/jvforward/server.go
+++ b/internal/jvforward/server.go
@@ -20,10 +20,13 @@
 const (
 	// maxNonces is the number of received messages that are remembered, so that none of them counts twice.
 	maxNonces = 1 << 12
-	// headTimeout bounds how long a connection may take to send a head, before it is authenticated.
+	// headTimeout bounds how long a connection may take to send a head, before it is authenticated. The body of an
+	// authenticated attempt has the attempt's time.
 	headTimeout = 2 * time.Second
 	// copyBytes is the size of the buffer through which a body passes.
 	copyBytes = 4 << 10
+	// opReceive is the operation of errors in attempts of other routers.
+	opReceive = "receive attempt"
 )
 
 // Server makes the attempts of other routers. It implements http.Handler.
@@ -65,7 +68,12 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(s.now().Add(headTimeout)) // If deadlines aren't supported, a stranger keeps its connection longer.
-	head, body, err := s.receive(r)
+	head, err := s.receiveHead(r)
+	var body []byte
+	if err == nil {
+		_ = control.SetReadDeadline(s.now().Add(max(head.Timeout, headTimeout)))
+		body, err = s.receiveBody(r, head)
+	}
 	if err != nil {
 		s.logger.Info("message of another router dropped", "from", r.RemoteAddr, "cause", err.Error())
 		panic(http.ErrAbortHandler)
@@ -89,39 +97,43 @@
 	}
 }
 
-// receive reads and authenticates an attempt.
-func (s *Server) receive(r *http.Request) (head attemptHead, body []byte, err error) {
-	const op = "receive attempt"
+// receiveHead reads and authenticates the head of an attempt.
+func (s *Server) receiveHead(r *http.Request) (head attemptHead, err error) {
 	if r.Method != http.MethodPost || r.URL.Path != path {
-		return head, nil, jvfault.Newf(op, KindForged, "%s %s", r.Method, r.URL.Path)
+		return head, jvfault.Newf(opReceive, KindForged, "%s %s", r.Method, r.URL.Path)
 	}
 	data, err := readHead(r.Body)
 	if err != nil {
-		return head, nil, err
+		return head, err
 	}
 	if !s.signer.Verify(data, r.Header.Get(tagHeader)) {
-		return head, nil, jvfault.Newf(op, KindForged, "the tag is wrong")
+		return head, jvfault.Newf(opReceive, KindForged, "the tag is wrong")
 	}
 	if head, err = jvcodec.Decode[attemptHead](data); err != nil {
-		return head, nil, jvfault.New(op, KindMalformed, err)
+		return head, jvfault.New(opReceive, KindMalformed, err)
 	}
 	if err := head.check(); err != nil {
-		return head, nil, err
+		return head, err
 	}
 	if seen, _ := s.nonces.ContainsOrAdd(head.From+" "+head.Nonce, struct{}{}); seen || head.To != s.name {
-		return head, nil, jvfault.Newf(op, KindForged, "the message is for %q, or was received before", head.To)
+		return head, jvfault.Newf(opReceive, KindForged, "the message is for %q, or was received before", head.To)
 	}
-	body, err = io.ReadAll(io.LimitReader(r.Body, s.maxBodyBytes()+1))
+	return head, nil
+}
+
+// receiveBody reads the body of an attempt and checks that it is the head's.
+func (s *Server) receiveBody(r *http.Request, head attemptHead) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, s.maxBodyBytes()+1))
 	if err != nil {
-		return head, nil, jvfault.New(op, KindMalformed, err)
+		return nil, jvfault.New(opReceive, KindMalformed, err)
 	}
 	if int64(len(body)) > s.maxBodyBytes() {
-		return head, nil, jvfault.Newf(op, KindMalformed, "a body of over %d bytes", s.maxBodyBytes())
+		return nil, jvfault.Newf(opReceive, KindMalformed, "a body of over %d bytes", s.maxBodyBytes())
 	}
 	if hash := sha256.Sum256(body); !bytes.Equal(hash[:], head.BodyHash) {
-		return head, nil, jvfault.Newf(op, KindForged, "the body is another one")
+		return nil, jvfault.Newf(opReceive, KindForged, "the body is another one")
 	}
-	return head, body, nil
+	return body, nil
 }
 
 // copyBody passes a body on as it arrives, and reports whether it is complete.
