jvrelay: let failed probes show that the own link may be at fault

What callers saw: a router that was cut off from all servers since its start answered 503 to all requests as long as the cut lasted, or for 0.7 s longer than before.

Cause: "probe targets that refuse connections". When all targets refuse, no request is sent to them any more, so no connection failed that could start a check. The first check found nothing, since the fleet's secret was not read yet and no router could be asked.

Failed probes now count as failed connections, and connections that fail during a check or the pause after it start the next one.

Evidence, before: TestRefusedCutIsFound and TestFailuresDuringPause failed.

--- a/internal/jvreach/monitor.go
+++ b/internal/jvreach/monitor.go
@@ -146,12 +146,19 @@
 
 // Failed records that a target refused a connection, did not respond to it, or broke it off without a response.
 func (m *Monitor) Failed(target string) {
+	m.mu.Lock()
+	m.failures[target] = m.options.Timer.Now()
+	m.mu.Unlock()
+	m.checkFailures()
+}
+
+// checkFailures starts a check if connections to enough targets have failed lately.
+func (m *Monitor) checkFailures() {
 	enough := min(minFailures, len(m.options.Targets()))
 	m.mu.Lock()
 	now := m.options.Timer.Now()
 	maps.DeleteFunc(m.failures, func(_ string, at time.Time) bool { return now.Sub(at) > failureAge })
-	m.failures[target] = now
-	start := len(m.failures) >= enough && m.startCheck(now)
+	start := len(m.failures) > 0 && len(m.failures) >= enough && m.startCheck(now)
 	suspects := slices.Collect(maps.Keys(m.failures))
 	m.mu.Unlock()
 	if start {
@@ -168,7 +175,7 @@
 	return true
 }
 
-// tick starts a check if all targets are silent, and tries unreachable targets and asks routers for their state
+// tick starts a check if all targets are silent or connections have failed, and tries unreachable targets and asks routers for their state
 // while there are any.
 func (m *Monitor) tick() {
 	m.mu.Lock()
@@ -184,7 +191,11 @@
 	if ask {
 		m.askedAt = now
 	}
+	failed := len(m.failures) > 0
 	m.mu.Unlock()
+	if failed {
+		m.checkFailures() // Those during the last check, or the pause after it.
+	}
 	if silent {
 		go m.check(nil)
 	}
--- a/internal/jvreach/monitor_test.go
+++ b/internal/jvreach/monitor_test.go
@@ -240,6 +240,29 @@
 	})
 }
 
+// TestFailuresDuringPause guards against a cut that is found late or never, since connections failed in the pause after
+// a check without result and none fail any more.
+func TestFailuresDuringPause(t *testing.T) {
+	inFleet(t, 2, 5, func(f *fleet) {
+		r := f.routers[0]
+		r.options.StoreReachable = func() bool { return false }
+		f.change(func(n *network) { n.dead["router-1"] = true })
+		f.cutOff(r, f.targets)
+		fail := func() {
+			for _, g := range f.targets {
+				r.Failed(g.Name)
+			}
+		}
+		fail()
+		time.Sleep(answerTimeout + contactWait)
+		require.False(t, r.Cut())
+		f.change(func(n *network) { clear(n.dead) })
+		fail()
+		time.Sleep(knownWithin)
+		require.True(t, r.Cut())
+	})
+}
+
 // TestMessagesOfOtherBuilds guards against messages that routers of the release before this one can't read, or of
 // which a router of this one concludes too much: those don't name the targets that responded.
 func TestMessagesOfOtherBuilds(t *testing.T) {
--- a/internal/jvrelay/refusing.go
+++ b/internal/jvrelay/refusing.go
@@ -18,10 +18,12 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 			defer cancel()
-			if r.options.Sender.Probe(ctx, target) == ProbeAccepted {
-				r.options.Logger.Info("target accepts connections again", "target", target.Name, "address", target.Address)
-				r.targets.RecordAccepted(target)
+			if r.options.Sender.Probe(ctx, target) != ProbeAccepted {
+				r.options.Reach.Failed(target.Name) // No request shows any more that the own link may be at fault.
+				return
 			}
+			r.options.Logger.Info("target accepts connections again", "target", target.Name, "address", target.Address)
+			r.targets.RecordAccepted(target)
 		}()
 	}
 }
--- a/internal/jvrelay/refusing_test.go
+++ b/internal/jvrelay/refusing_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,6 +18,7 @@
 	"github.com/jasminevale/jasminevale/internal/jvfault"
 	"github.com/jasminevale/jasminevale/internal/jvmember"
 	"github.com/jasminevale/jasminevale/internal/jvreach"
+	"github.com/jasminevale/jasminevale/internal/jvtimer"
 )
 
 // listenSender sends to targets of which some refuse connections. It is safe for concurrent use.
@@ -185,3 +187,43 @@
 		require.Zero(t, f.relay.entered.Load())
 	})
 }
+
+// TestRefusedCutIsFound guards against a router that never finds out that it is cut off, since all targets refuse its
+// connections, it sends nothing to them any more, and the first check had no answer of another router.
+func TestRefusedCutIsFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		timer := jvtimer.NewService()
+		defer timer.Close()
+		var answering atomic.Bool
+		var reach, other *jvreach.Monitor
+		o := jvreach.DefaultOptions()
+		o.Timer = timer
+		o.Random = func() float64 { return 0.5 }
+		o.Targets = func() []jvreach.Target { return []jvreach.Target{{Name: "t0"}, {Name: "t1"}, {Name: "t2"}} }
+		o.Connect = func(context.Context, jvreach.Target) bool { return true }
+		o.Room = func() int64 { return 10 }
+		o.Self = jvmember.Member{Name: "r1"}
+		other = jvreach.New(o)
+		o.Self = jvmember.Member{Name: "r0"}
+		o.Others = func() []jvmember.Member { return []jvmember.Member{{Name: "r1"}} }
+		o.Connect = func(context.Context, jvreach.Target) bool { return false }
+		o.StoreReachable = func() bool { return false }
+		o.Send = func(_ jvmember.Member, data []byte) {
+			if answering.Load() {
+				_ = other.Receive(data, func(reply []byte) { _ = reach.Receive(reply, func([]byte) {}) })
+			}
+		}
+		reach = jvreach.New(o)
+		forwarder := &forwarderFake{scripts: []script{{status: 200, body: "answer"}}}
+		f := refusingFixture{listens: &listenSender{listening: map[string]bool{}}}
+		f.fixture = newFixtureWith(t, func(o *Options) { o.Reach, o.Forwarder, o.Sender = reach, forwarder, f.listens })
+		f.send(t, 5, 20*time.Millisecond)
+		time.Sleep(time.Minute)
+		require.False(t, reach.Cut(), "no other router answers")
+		answering.Store(true)
+		time.Sleep(3 * time.Second)
+		require.True(t, reach.Cut())
+		forwarder.scripts = []script{{status: 200, body: "answer"}}
+		require.Zero(t, f.send(t, 1, 0))
+	})
+}
