jvrelay: leave a silent target of a begun stream only for one that goes on

What callers saw: a stream with a pause of over 0.7 s between two events broke off although its server still worked on it, where no other server could go on: the only one of its pool or version, or all others full or paused.

Cause: the stall timer canceled the attempt if the retry budget allowed another one, without regard to a target for it.

Evidence: TestSilenceWithoutOtherTarget (a pause of 1.5 s, deadline 2 s) failed: the stream was cut after its first event.

Now a begun stream is moved only if another target of its version accepts it at that moment, and the check is repeated each 100 ms. Requests without a response are moved as before: they can wait for a target. So are attempts that another router makes, which selects the target.

After: the stream is whole, with one attempt; the tests of jvrelay and jvtarget pass with -race.

--- a/internal/jvrelay/stall.go
+++ b/internal/jvrelay/stall.go
@@ -1,10 +1,13 @@
 package jvrelay
 
 import (
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/jasminevale/jasminevale/internal/jvtarget"
 	"github.com/jasminevale/jasminevale/internal/jvtimer"
 )
 
@@ -24,11 +27,11 @@
 	minStall = 700 * time.Millisecond
 )
 
+// stallPoll is the interval at which a silent target of a begun stream is checked again while no other one would go on.
+const stallPoll = 100 * time.Millisecond
+
 // stallTimer cancels an attempt that stalls; without an alarm it does nothing.
-type stallTimer struct {
-	alarm *jvtimer.Alarm
-	gap   time.Duration
-}
+type stallTimer struct{ alarm *stallAlarm }
 
 // startStallTimer returns a timer that calls cancel when the attempt stalls, if the request may
 // run at another target afterwards.
@@ -40,18 +43,72 @@
 	if a.headersSent {
 		first = max(first, stallGapFactor*a.route.TargetGap)
 	}
-	return stallTimer{alarm: r.options.Timer.Alarm(first, cancel), gap: max(stallGapFactor*a.route.TargetGap, minStall)}
+	s := &stallAlarm{timer: r.options.Timer, gap: max(stallGapFactor*a.route.TargetGap, minStall), canMove: r.canMove(a), cancel: cancel}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.alarm = r.options.Timer.Alarm(first, s.fire)
+	return stallTimer{alarm: s}
+}
+
+// canMove returns a function that reports whether an attempt that begins now may be canceled for another one. A request
+// without a response may wait for a target, a begun stream needs one that accepts it at once: the silent target may
+// still go on.
+func (r *Relay) canMove(a *activeRequest) func() bool {
+	q := jvtarget.Request{Pool: a.pool, Priority: -a.priority, Avoid: append(slices.Clone(a.avoid), a.target), Deadline: a.deadline, Bound: true, Version: a.version}
+	if a.bound {
+		q.Version = a.origin.Version
+	}
+	forwarded, open := a.via != "", &a.open
+	return func() bool {
+		begun := false
+		open.update(func(o *openRequest) { begun = o.begun })
+		return !begun || forwarded || r.targets.Accepts(q) // The other router selects the target of a forwarded attempt.
+	}
+}
+
+// stallAlarm is the alarm of a stallTimer. It is safe for concurrent use.
+type stallAlarm struct {
+	timer   *jvtimer.Service
+	gap     time.Duration
+	canMove func() bool
+	cancel  func()
+
+	mu      sync.Mutex
+	alarm   *jvtimer.Alarm
+	resetAt time.Time
+	stopped bool
+}
+
+// fire cancels the attempt, or checks again later if that would not help.
+func (s *stallAlarm) fire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.stopped, !s.resetAt.IsZero() && s.timer.Since(s.resetAt) < s.gap:
+	case s.canMove():
+		s.cancel()
+	default:
+		s.alarm.Reset(stallPoll)
+	}
 }
 
 // reset starts the wait for the next event.
 func (s stallTimer) reset() {
-	if s.alarm != nil {
-		s.alarm.Reset(s.gap)
+	if s.alarm == nil {
+		return
 	}
+	s.alarm.mu.Lock()
+	defer s.alarm.mu.Unlock()
+	s.alarm.resetAt = s.alarm.timer.Now()
+	s.alarm.alarm.Reset(s.alarm.gap)
 }
 
 func (s stallTimer) stop() {
-	if s.alarm != nil {
-		s.alarm.Stop()
+	if s.alarm == nil {
+		return
 	}
+	s.alarm.mu.Lock()
+	defer s.alarm.mu.Unlock()
+	s.alarm.stopped = true
+	s.alarm.alarm.Stop()
 }
