--- a/internal/jvrelay/open.go
+++ b/internal/jvrelay/open.go
@@ -153,6 +153,21 @@
 	return c
 }
 
+// Begun returns the number of requests and attempts for other routers whose response has begun.
+func (r *Relay) Begun() int {
+	r.open.mu.Lock()
+	defer r.open.mu.Unlock()
+	n := 0
+	for o := range r.open.all {
+		o.update(func(o *openRequest) {
+			if o.begun {
+				n++
+			}
+		})
+	}
+	return n
+}
+
 // EndWaits ends the requests and attempts for other routers whose response has not begun, and those that come later.
 // A request that has not run is refused.
 func (r *Relay) EndWaits() {
