--- a/internal/jvmember/members.go
+++ b/internal/jvmember/members.go
@@ -97,7 +97,7 @@
 	}
 }
 
-// Close removes this router from the members, until ctx ends at the latest.
+// Close removes this router from the members, until ctx ends at the latest. Run must be running.
 func (m *Members) Close(ctx context.Context) {
 	m.mu.Lock()
 	m.closed = true
