targets: obey Server-Leaving in responses

A server that leaves may say so in its responses long before its entry shows it, or while the store is away.

The sign counts only in the response to the attempt, or in a refusal that counts as one, and not in a 421. It belongs to the process that the entry showed when the attempt was sent, and lives outside the table of targets, which follows the entries: so it outlasts their removal and return, and ends with another start time. It is recorded before the response is passed on. Selection treats the target like one whose entry is draining, so retries, trials after a pause, attempts for other routers and streams bound to a version follow one rule. The sign travels with responses through other routers, as a new optional field, and the targets known to leave travel back as ones to avoid. The end of such a target is no crash.

--- a/internal/jvforward/message.go
+++ b/internal/jvforward/message.go
@@ -109,12 +109,14 @@
 	WrongInstance bool        `cbor:"displaced,omitempty"`
 	Signed        bool        `cbor:"signed,omitempty"`
 	Unframed      bool        `cbor:"unframed,omitempty"`
+	// Leaving is missing in the responses of earlier builds.
+	Leaving bool `cbor:"leaving,omitempty"`
 }
 
 func newResponseHead(nonce string, r *jvrelay.Response) responseHead {
 	return responseHead{
 		For: nonce, Target: r.Target.Name, Version: r.Target.Version, Born: r.StartedAtMillis, Status: r.Status, Header: r.Header,
-		Refused: r.Refused, WrongInstance: r.WrongInstance, Signed: r.Signed, Unframed: r.Unframed,
+		Refused: r.Refused, WrongInstance: r.WrongInstance, Signed: r.Signed, Unframed: r.Unframed, Leaving: r.Leaving,
 	}
 }
 
@@ -126,7 +128,7 @@
 	}
 	return &jvrelay.Response{
 		Status: h.Status, Header: header, Body: body, Refused: h.Refused, WrongInstance: h.WrongInstance, Signed: h.Signed,
-		Unframed: h.Unframed, Target: jvconfig.Target{Name: h.Target, Version: h.Version}, StartedAtMillis: h.Born,
+		Unframed: h.Unframed, Leaving: h.Leaving, Target: jvconfig.Target{Name: h.Target, Version: h.Version}, StartedAtMillis: h.Born,
 	}
 }
 
--- a/internal/jvrelay/forward.go
+++ b/internal/jvrelay/forward.go
@@ -63,12 +63,13 @@
 	}()
 	d := r.newDispatch(a)
 	s := r.slotRequest(a)
-	d.Selection = Selection{Pool: s.Pool, Prefix: s.Prefix, Bound: s.Bound, Version: s.Version, Avoid: a.failed, Features: a.features}
+	d.Selection = Selection{Pool: s.Pool, Prefix: s.Prefix, Bound: s.Bound, Version: s.Version, Avoid: r.avoided(a), Features: a.features}
 	response, err := r.options.Forwarder.Forward(ctx, peer, d)
 	if err != nil {
 		return r.classify(ctx, err)
 	}
 	a.setTarget(response.Target, response.StartedAtMillis)
+	r.recordSigns(a, response)
 	return r.deliver(ctx, a, response, stall)
 }
 
--- a/internal/jvrelay/registry.go
+++ b/internal/jvrelay/registry.go
@@ -116,7 +116,7 @@
 
 // drop removes an entry; g.mu must be held.
 func (g *Registry) drop(id, reason string) {
-	if !g.entries[id].Leaving {
+	if !g.entries[id].Leaving && !g.targets.Leaves(id) {
 		g.crashes.entryRemoved(id)
 	}
 	delete(g.entries, id)
@@ -230,6 +230,7 @@
 		pools[e.Pool] = append(pools[e.Pool], target)
 	}
 	g.limits.Retain(started)
+	g.targets.SetProcesses(processes(g.entries))
 	g.versions.Observe(versions)
 	entries := maps.Clone(g.entries)
 	g.targets.SetPools(pools, func(name string) bool { return entries[name].Leaving })
--- a/internal/jvrelay/relay.go
+++ b/internal/jvrelay/relay.go
@@ -120,7 +120,7 @@
 func (r *Relay) ReachTargets() []jvreach.Target {
 	var list []jvreach.Target
 	for id, e := range r.registry.Entries() {
-		if !e.Leaving {
+		if !e.Leaving && !r.targets.Leaves(id) {
 			list = append(list, jvreach.Target{Name: id, Address: e.Target.Address})
 		}
 	}
--- a/internal/jvrelay/sender.go
+++ b/internal/jvrelay/sender.go
@@ -75,6 +75,8 @@
 	Limit      *float64
 	// Brittle is true if the target names itself brittle: it ends if it has to turn many requests away.
 	Brittle bool
+	// Leaving is true if the target says of itself that it leaves.
+	Leaving bool
 	// Load is the target's load report, or nil.
 	Load *jvtarget.Load
 	// Target is the target that another router selected, and StartedAtMillis the start of its process.
--- a/internal/jvtarget/acquire.go
+++ b/internal/jvtarget/acquire.go
@@ -107,7 +107,7 @@
 		if accepted, _ := t.inService(g, q); accepted && q.acceptsVersion(g.config) && t.unreachable(name) {
 			unreachable++
 		}
-		if g.leaving {
+		if t.isLeaving(g) {
 			leaving++
 		}
 		if !q.acceptsVersion(g.config) {
@@ -133,7 +133,7 @@
 	for name, g := range p.targets {
 		wait, limited := t.limiter.Wait(name)
 		switch {
-		case g.leaving, !q.acceptsVersion(g.config), t.unreachable(name):
+		case t.isLeaving(g), !q.acceptsVersion(g.config), t.unreachable(name):
 		case !limited && brittle:
 			slots += shareOf(name, g.config.Slots, index, n)
 		case !limited:
--- a/internal/jvtarget/table.go
+++ b/internal/jvtarget/table.go
@@ -94,6 +94,7 @@
 	pools       map[string]*pool
 	// leavingTargets are the names of the targets that the VM list shows as leaving.
 	leavingTargets map[string]bool
+	signs          signs
 }
 
 // NewTable returns an empty table with the default weights for a router in a zone.
@@ -103,7 +104,7 @@
 
 // NewTableWith returns an empty table with weights and a limiter for a router in a zone.
 func NewTableWith(zone string, timer *jvtimer.Service, random func() float64, w Weights, l Limiter) *Table {
-	t := &Table{zone: zone, timer: timer, random: random, weights: w, limiter: l, unreachable: func(string) bool { return false }, sharers: func() (int, int) { return 0, 1 }, pools: map[string]*pool{}, leavingTargets: map[string]bool{}}
+	t := &Table{zone: zone, timer: timer, random: random, weights: w, limiter: l, unreachable: func(string) bool { return false }, sharers: func() (int, int) { return 0, 1 }, pools: map[string]*pool{}, leavingTargets: map[string]bool{}, signs: newSigns()}
 	timer.Every(wakeInterval, t.wakeAll)
 	return t
 }
@@ -261,10 +262,11 @@
 // inService reports whether a target accepts a request in view of its leaving. lateOnly is true if the target is
 // leaving and accepts the request since that is bound to its version.
 func (t *Table) inService(g *target, q Request) (accepted, lateOnly bool) {
-	if !g.leaving {
+	since, leaving := t.leavingSince(g)
+	if !leaving {
 		return true, false
 	}
-	late := q.Bound && !g.leavingSince.IsZero() && t.timer.Since(g.leavingSince) < t.lateDrain
+	late := q.Bound && !since.IsZero() && t.timer.Since(since) < t.lateDrain
 	return late, late
 }
 
--- a/internal/jvtarget/view.go
+++ b/internal/jvtarget/view.go
@@ -39,7 +39,7 @@
 	now, n := t.timer.Now(), 0
 	for _, p := range t.pools {
 		for _, g := range p.targets {
-			if !g.leaving && !g.health.usable(now) {
+			if !t.isLeaving(g) && !g.health.usable(now) {
 				n++
 			}
 		}
@@ -63,7 +63,7 @@
 				ReportedAt:  g.load.ReportedAt,
 				OwnRequests: len(g.traffic.starts),
 				Estimate:    g.traffic.estimate(g.load, p.maxReportAge(t.weights.MaxReportAge), t.timer.Now()),
-				Leaving:     g.leaving,
+				Leaving:     t.isLeaving(g),
 				Failures:    g.health.failures,
 				PausedUntil: g.health.pausedUntil,
 			})
