targets: obey Retry-After of refusals

A server that refuses a request with 503 and Retry-After wants nothing of this router for so long. Where all servers name a time, callers were sent back after 0.2 s.

The time belongs to the process that refused, next to its sign of leaving. Selection leaves the target out until the end and a random part of it, nobody waits for such a target, and then lets one request through, and one more at a time for each response. The request itself takes the next target at once, as after any refusal. If all targets for a request name a time, it is refused at once with the shortest rest, also if it found that out itself.

--- a/internal/jvrelay/fake_test.go
+++ b/internal/jvrelay/fake_test.go
@@ -40,8 +40,9 @@
 	// limit is the target's limit, or nil; namesLimit names one that can't be read.
 	limit      *float64
 	namesLimit bool
-	// leaving says that the target leaves.
-	leaving bool
+	// leaving says that the target leaves, retryAfter for how long it wants no requests.
+	leaving    bool
+	retryAfter time.Duration
 	// unframed ends the body with the connection.
 	unframed bool
 	// cut ends the body with an error; hang never ends it.
@@ -104,7 +105,7 @@
 	return &Response{
 		Status: c.status, Header: http.Header{}, Body: io.NopCloser(&scriptBody{ctx: ctx, rest: c.body, script: c}),
 		Refused: c.refused || c.wrongInstance, WrongInstance: c.wrongInstance, Signed: !c.unsigned, Unframed: c.unframed,
-		Limit: c.limit, NamesLimit: c.limit != nil || c.namesLimit, Unidentified: c.unidentified, Leaving: c.leaving,
+		Limit: c.limit, NamesLimit: c.limit != nil || c.namesLimit, Unidentified: c.unidentified, Leaving: c.leaving, RetryAfter: c.retryAfter,
 	}, nil
 }
 
--- a/internal/jvrelay/forward.go
+++ b/internal/jvrelay/forward.go
@@ -69,7 +69,7 @@
 		return r.classify(ctx, err)
 	}
 	a.setTarget(response.Target, response.StartedAtMillis)
-	r.recordSigns(a, response)
+	r.recordLeaving(a, response)
 	return r.deliver(ctx, a, response, stall)
 }
 
--- a/internal/jvrelay/sender.go
+++ b/internal/jvrelay/sender.go
@@ -77,6 +77,8 @@
 	Brittle bool
 	// Leaving is true if the target says of itself that it leaves.
 	Leaving bool
+	// RetryAfter is how long the target, which refused the attempt, wants no others of this router, or 0.
+	RetryAfter time.Duration
 	// Load is the target's load report, or nil.
 	Load *jvtarget.Load
 	// Target is the target that another router selected, and StartedAtMillis the start of its process.
--- a/internal/jvrelay/serve.go
+++ b/internal/jvrelay/serve.go
@@ -200,6 +200,9 @@
 	if errors.As(err, &refusal) && refusal.Cause.Kind == jvtarget.KindOverloaded {
 		retryAfter = max(retryAfter, refusal.RetryAfter/2)
 	}
+	if refusal != nil && refusal.Cause.Kind == jvtarget.KindBackoff {
+		retryAfter = max(retryAfter, refusal.RetryAfter)
+	}
 	return notRun("overloaded", err.Error(), retryAfter)
 }
 
@@ -230,7 +233,7 @@
 	case kind == KindRefused && a.notRun < r.options.MaxNotRun && r.retries.budget(a.pool).Spend():
 		return nil, false
 	case a.possibleRuns == 0:
-		return notRun("overloaded", "no target accepted the request: "+err.Error(), targetRetryAfter), true
+		return notRun("overloaded", "no target accepted the request: "+err.Error(), max(targetRetryAfter, r.targets.Rest(r.slotRequest(a)))), true
 	case !a.route.Repeatable() || a.possibleRuns >= a.route.MaxAttempts:
 		return mayHaveRun(err.Error()), true
 	case a.retryPaid, errors.Is(err, errStalled):
--- a/internal/jvrelay/sign_test.go
+++ b/internal/jvrelay/sign_test.go
@@ -88,3 +88,30 @@
 		})
 	}
 }
+
+// TestNamedTimes guards against requests to a target in the time that it has named, against a request that is refused
+// although others would run it, and against callers that come back before the first target wants requests.
+func TestNamedTimes(t *testing.T) {
+	busy := func(d time.Duration) script { return script{status: 503, refused: true, retryAfter: d} }
+	whole := script{status: 200, body: "answer"}
+	synctest.Test(t, func(t *testing.T) {
+		s := newFixture(t, busy(5*time.Second), whole)
+		require.Equal(t, "200 length 6: answer", s.serve(t.Context(), t, "once", nil), "it goes elsewhere at once")
+		wants := map[string]bool{}
+		for range 20 {
+			s.sender.scripts = []script{whole}
+			s.serve(t.Context(), t, "once", nil)
+			wants[s.sender.target] = true
+		}
+		require.Len(t, wants, 2)
+		require.Equal(t, 1, s.relay.targets.CountBackoff())
+	})
+	synctest.Test(t, func(t *testing.T) {
+		s := newFixture(t, busy(5*time.Second), busy(4*time.Second), busy(6*time.Second))
+		start := time.Now()
+		require.Regexp(t, `^refused 503 overloaded, retry after 4\.[0-9]*s$`, s.serve(t.Context(), t, "once", nil))
+		require.Regexp(t, `^refused 503 overloaded, retry after 4\.[0-9]*s$`, s.serve(t.Context(), t, "safe", nil))
+		require.Zero(t, time.Since(start))
+		require.Len(t, s.sender.sent, 3)
+	})
+}
--- a/internal/jvtarget/acquire.go
+++ b/internal/jvtarget/acquire.go
@@ -120,6 +120,10 @@
 	refusal := newRefusal(KindNoTarget, minRetryAfter, "no target of pool %s accepts requests: %d in all, %d leaving, %d paused, %d avoided after failures, %d of other versions than %q, %d unreachable from here",
 		q.Pool, len(p.targets), leaving, paused, len(q.Avoid), versions, q.Version, unreachable)
 	refusal.Unreachable = unreachable
+	if rest, ok := p.shortestRest(t, q); ok {
+		refusal.Cause.Kind = KindBackoff
+		refusal.RetryAfter = rest
+	}
 	return refusal
 }
 
@@ -127,13 +131,14 @@
 // slots and mean service time, or from the limits of targets if all of them have one.
 func (p *pool) predictWait(t *Table, ahead int, q Request) time.Duration {
 	slots := int64(0)
-	brittle := p.brittle(t.timer.Now())
+	now := t.timer.Now()
+	brittle := p.brittle(now)
 	index, n := t.sharers()
 	shortest := time.Duration(-1) // Of the waits for targets with a limit.
 	for name, g := range p.targets {
 		wait, limited := t.limiter.Wait(name)
 		switch {
-		case t.isLeaving(g), !q.acceptsVersion(g.config), t.unreachable(name):
+		case t.isLeaving(g), !q.acceptsVersion(g.config), t.unreachable(name), t.signs.backoffOf(name).rest(now) > 0:
 		case !limited && brittle:
 			slots += shareOf(name, g.config.Slots, index, n)
 		case !limited:
--- a/internal/jvtarget/error.go
+++ b/internal/jvtarget/error.go
@@ -13,6 +13,8 @@
 const (
 	// KindNoTarget means that no target of the pool accepts requests.
 	KindNoTarget Kind = "none"
+	// KindBackoff means that all targets that could accept the request have named a time in which they want none.
+	KindBackoff Kind = "backoff"
 	// KindOverloaded means that the request would not be done by its deadline.
 	KindOverloaded Kind = "overloaded"
 	// KindDeadline means that the deadline passed while the request waited for a slot.
--- a/internal/jvtarget/sign.go
+++ b/internal/jvtarget/sign.go
@@ -18,6 +18,8 @@
 	leavingSince time.Time
 	// entryEnded is true if the entry was removed or leaving since then.
 	entryEnded bool
+	// backoff is the time in which the process wants no requests of this router.
+	backoff backoff
 }
 
 // maxSigns limits the signs of targets that have no entry. It is far above the number of targets that leave
--- a/internal/jvtarget/sign_test.go
+++ b/internal/jvtarget/sign_test.go
@@ -17,13 +17,13 @@
 const testLateDrain = 2 * time.Second
 
 // inSignTable runs a test with a table of the targets t0 and t1, whose processes started at 1.
-func inSignTable(t *testing.T, test func(table *Table)) {
-	synctest.Test(t, func(*testing.T) {
+func inSignTable(t *testing.T, test func(t *testing.T, table *Table)) {
+	synctest.Test(t, func(t *testing.T) {
 		timer := jvtimer.NewService()
 		defer timer.Close()
 		table := NewTable("a", timer, func() float64 { return 0 }).WithLateDrain(testLateDrain)
 		setEntries(table, map[string]Process{"t0": {StartedAtMillis: 1}, "t1": {StartedAtMillis: 1}})
-		test(table)
+		test(t, table)
 	})
 }
 
@@ -90,7 +90,7 @@
 		{"response of an earlier process", Process{StartedAtMillis: 2}, 1, nil, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			inSignTable(t, func(table *Table) {
+			inSignTable(t, func(t *testing.T, table *Table) {
 				set := func(p Process) {
 					entries := map[string]Process{"t1": ready}
 					if p != absent {
@@ -113,7 +113,7 @@
 // TestLeavingServesBoundStreams checks that a target that has said it leaves still gets streams that can go on nowhere
 // else, for a time that a later entry doesn't prolong.
 func TestLeavingServesBoundStreams(t *testing.T) {
-	inSignTable(t, func(table *Table) {
+	inSignTable(t, func(t *testing.T, table *Table) {
 		bound := Request{Pool: "p", Bound: true, Version: "t0"}
 		require.True(t, table.RecordLeaving("p", "t0", 1))
 		require.False(t, table.RecordLeaving("p", "t0", 1), "already known")
@@ -129,7 +129,7 @@
 
 // TestLeavingEndsWaiting guards against requests that wait until their deadline for targets that have said they leave.
 func TestLeavingEndsWaiting(t *testing.T) {
-	inSignTable(t, func(table *Table) {
+	inSignTable(t, func(t *testing.T, table *Table) {
 		table.RecordLeaving("p", "t1", 1)
 		start := table.timer.Now()
 		q := Request{Pool: "p", Deadline: start.Add(time.Minute)}
@@ -152,7 +152,7 @@
 
 // TestSignsAreBounded guards against memory that grows with the number of targets that ever left.
 func TestSignsAreBounded(t *testing.T) {
-	inSignTable(t, func(table *Table) {
+	inSignTable(t, func(t *testing.T, table *Table) {
 		table.RecordLeaving("p", "t0", 1)
 		for n := range 2 * maxSigns {
 			time.Sleep(time.Millisecond)
--- a/internal/jvtarget/table.go
+++ b/internal/jvtarget/table.go
@@ -289,7 +289,7 @@
 		if accepted, late := t.inService(g, q); !accepted || late != leaving || !g.health.usable(now) || !q.accepts(g.config) || t.unreachable(name) {
 			continue
 		}
-		if wait, limited := t.limiter.Wait(name); limited && wait > 0 {
+		if wait, limited := t.limiter.Wait(name); limited && wait > 0 || !t.signs.backoffOf(name).allows(now, g) {
 			continue
 		}
 		busy := g.traffic.estimate(g.load, p.maxReportAge(t.weights.MaxReportAge), now)
@@ -309,8 +309,9 @@
 
 // worthWaiting reports whether requests should wait for a target of the pool.
 func (p *pool) worthWaiting(t *Table, q Request) bool {
+	now := t.timer.Now()
 	for name, g := range p.targets {
-		if accepted, _ := t.inService(g, q); accepted && !t.unreachable(name) && g.health.worthWaiting() && q.accepts(g.config) {
+		if accepted, _ := t.inService(g, q); accepted && !t.unreachable(name) && g.health.worthWaiting() && q.accepts(g.config) && t.signs.backoffOf(name).rest(now) == 0 {
 			return true
 		}
 	}
--- a/internal/jvtarget/view.go
+++ b/internal/jvtarget/view.go
@@ -15,6 +15,8 @@
 	OwnRequests int   `json:"own"`
 	Estimate    int64 `json:"estimate"`
 	Leaving     bool  `json:"leaving"`
+	// BackoffUntil is until when the target gets no requests, since it has named that time.
+	BackoffUntil time.Time `json:"backoff"`
 	// Failures is the number of failures in a row.
 	Failures int `json:"failures"`
 	// PausedUntil is when the target may be selected again after a failure.
@@ -56,16 +58,17 @@
 		v := PoolView{Waiting: len(p.waiting), MeanServiceSeconds: p.meanServiceSeconds, Brittle: p.brittle(t.timer.Now())}
 		for n, g := range p.targets {
 			v.Targets = append(v.Targets, TargetView{
-				Target:      n,
-				Zone:        g.config.Zone,
-				Slots:       g.config.Slots,
-				Reported:    g.load.Busy,
-				ReportedAt:  g.load.ReportedAt,
-				OwnRequests: len(g.traffic.starts),
-				Estimate:    g.traffic.estimate(g.load, p.maxReportAge(t.weights.MaxReportAge), t.timer.Now()),
-				Leaving:     t.isLeaving(g),
-				Failures:    g.health.failures,
-				PausedUntil: g.health.pausedUntil,
+				Target:       n,
+				Zone:         g.config.Zone,
+				Slots:        g.config.Slots,
+				Reported:     g.load.Busy,
+				ReportedAt:   g.load.ReportedAt,
+				OwnRequests:  len(g.traffic.starts),
+				Estimate:     g.traffic.estimate(g.load, p.maxReportAge(t.weights.MaxReportAge), t.timer.Now()),
+				Leaving:      t.isLeaving(g),
+				BackoffUntil: t.signs.backoffOf(n).end,
+				Failures:     g.health.failures,
+				PausedUntil:  g.health.pausedUntil,
 			})
 		}
 		views[name] = v
