routers share which targets leave

Each router of a fleet had to find out by a request of its own that a server leaves. In TestProcessRoutersShareLeaving (two routers, three servers of each kind) the second router did not learn what the first one had found out.

The router that finds out first sends the ID and the start of the process to the others in packets on the internal port, three times, as packets may be lost; a router that knows it from another one doesn't send it again. A receiver only uses the target last: when all others are full, for 30 s at most, and until a later request of its own gets a response without the sign. So neither a forged nor a wrong packet takes a target out of service; repeated packets, and packets about all targets or other processes are tested.

--- a/internal/jvrelay/dump.go
+++ b/internal/jvrelay/dump.go
@@ -59,6 +59,7 @@
 	r.options.Meter.Gauge("jv_relay_brittle_pools", func() float64 { return float64(r.targets.CountBrittle()) })
 	r.options.Meter.Gauge("jv_relay_leaving_targets", func() float64 { return float64(r.targets.CountSaidLeaving()) })
 	r.options.Meter.Gauge("jv_relay_backoff_targets", func() float64 { return float64(r.targets.CountBackoff()) })
+	r.options.Meter.Gauge("jv_relay_doubted_targets", func() float64 { return float64(r.targets.CountDoubted()) })
 	r.options.Meter.Gauge("jv_relay_limited_targets", func() float64 { return float64(r.options.Limits.Count()) })
 	r.options.Meter.Gauge("jv_relay_config_version", func() float64 {
 		if t := r.table.Load(); t != nil {
--- a/internal/jvrelay/options.go
+++ b/internal/jvrelay/options.go
@@ -12,6 +12,7 @@
 	"github.com/jasminevale/jasminevale/internal/jvmeter"
 	"github.com/jasminevale/jasminevale/internal/jvquarantine"
 	"github.com/jasminevale/jasminevale/internal/jvreach"
+	"github.com/jasminevale/jasminevale/internal/jvsign"
 	"github.com/jasminevale/jasminevale/internal/jvtarget"
 	"github.com/jasminevale/jasminevale/internal/jvtimer"
 	"github.com/jasminevale/jasminevale/internal/jvversion"
@@ -85,6 +86,8 @@
 	Forwarder Forwarder
 	// TargetsCurrent reports whether the list of targets is up to date.
 	TargetsCurrent func() bool
+	// AnnounceLeaving sends the other routers that a target has said that it leaves.
+	AnnounceLeaving func(p jvsign.Process)
 	// LateDrain is how long after a target was seen to leave it still gets streams that can go on nowhere
 	// else, since all other targets have another version.
 	LateDrain time.Duration
@@ -125,6 +128,7 @@
 		Logger:           logr.Discard(),
 		Congested:        func() bool { return false },
 		TargetsCurrent:   func() bool { return true },
+		AnnounceLeaving:  func(jvsign.Process) {},
 		CountRouters:     func() (int, bool) { return 1, true },
 		Meter:            jvmeter.NewRelay(),
 		Weights:          jvtarget.Weights{CrossZone: 0.10, PrefixBonus: 0.75, PrefixAnyZone: true, MaxReportAge: time.Second},
--- a/internal/jvrelay/sign.go
+++ b/internal/jvrelay/sign.go
@@ -1,24 +1,40 @@
 package jvrelay
 
-import "github.com/jasminevale/jasminevale/internal/jvtarget"
+import (
+	"github.com/jasminevale/jasminevale/internal/jvsign"
+	"github.com/jasminevale/jasminevale/internal/jvtarget"
+)
 
 // recordSigns records what a target's response to this router says of the target, before it is passed on.
 func (r *Relay) recordSigns(a *activeRequest, response *Response) {
-	r.recordLeaving(a, response)
+	doubted := r.targets.Doubted(a.target)
+	if r.recordLeaving(a, response) && !doubted { // Otherwise another router has sent it to all.
+		r.options.AnnounceLeaving(jvsign.Process{Target: a.target, StartedAtMillis: a.targetStartedAt})
+	}
 	switch {
 	case response.RetryAfter > 0:
 		if r.targets.RecordBackoff(a.pool, a.target, a.targetStartedAt, response.RetryAfter) {
 			r.options.Logger.Info("target wants no requests", "target", a.target, "pool", a.pool, "ms", response.RetryAfter.Milliseconds(), "request", a.request.ID)
 		}
 	case response.Signed && !response.Refused:
-		r.targets.RecordAccepted(a.pool, a.target)
+		r.targets.RecordAccepted(a.pool, a.target, a.attemptStartedAt)
+	}
+}
+
+// recordLeaving records that a target says in a response, which may have come through another router, that it leaves. It
+// reports whether that is new.
+func (r *Relay) recordLeaving(a *activeRequest, response *Response) bool {
+	if !response.Leaving || !r.targets.RecordLeaving(a.pool, a.target, a.targetStartedAt) {
+		return false
 	}
+	r.options.Logger.Info("target says it leaves", "target", a.target, "pool", a.pool, "born", a.targetStartedAt, "request", a.request.ID)
+	return true
 }
 
-// recordLeaving records that a target says in a response, which may have come through another router, that it leaves.
-func (r *Relay) recordLeaving(a *activeRequest, response *Response) {
-	if response.Leaving && r.targets.RecordLeaving(a.pool, a.target, a.targetStartedAt) {
-		r.options.Logger.Info("target says it leaves", "target", a.target, "pool", a.pool, "born", a.targetStartedAt, "request", a.request.ID)
+// Doubt records that another router says of a target's process that it leaves.
+func (r *Relay) Doubt(p jvsign.Process) {
+	if r.targets.RecordDoubt(p.Target, p.StartedAtMillis) {
+		r.options.Logger.Info("target leaves by another router", "target", p.Target, "born", p.StartedAtMillis)
 	}
 }
 
--- a/internal/jvtarget/sign.go
+++ b/internal/jvtarget/sign.go
@@ -20,6 +20,10 @@
 	entryEnded bool
 	// backoff is the time in which the process wants no requests of this router.
 	backoff backoff
+	// doubtedAt is when another router first said that the process leaves. doubtEnded is true once the process has
+	// responded to this router since.
+	doubtedAt  time.Time
+	doubtEnded bool
 }
 
 // maxSigns limits the signs of targets that have no entry. It is far above the number of targets that leave
--- a/internal/jvtarget/table.go
+++ b/internal/jvtarget/table.go
@@ -298,6 +298,7 @@
 		}
 		list = append(list, Candidate{Name: name, Slots: g.config.Slots, Busy: busy, SameZone: g.config.Zone == t.zone})
 	}
+	list = t.signs.withoutDoubted(list, now)
 	slices.SortFunc(list, func(a, b Candidate) int {
 		if a.Name < b.Name {
 			return -1
