targets: spread the return of all routers to a busy target

A target that is full refuses all routers at about the same time, often with the same Retry-After. Of 83 routers that were refused for 1 s, all 83 returned within a tenth of a second (TestReturnOfManyRouters), since the random part of the time was up to a tenth of it, whatever the size of the fleet.

The random part is now up to 10 ms for each router of the fleet at least. At most 27 of the 83 return in any tenth of a second.

--- a/internal/jvtarget/backoff.go
+++ b/internal/jvtarget/backoff.go
@@ -4,9 +4,10 @@
 
 const (
 	// returnSpread is the part of the time that a target named by which routers and callers return later at most, so
-	// that they don't return at once. minReturnSpread and maxReturnSpread bound it.
+	// that they don't return at once. routerSpread for each router of the fleet is the least, as a target may have
+	// refused all of them, maxReturnSpread the most.
 	returnSpread    = 0.1
-	minReturnSpread = 50 * time.Millisecond
+	routerSpread    = 10 * time.Millisecond
 	maxReturnSpread = time.Second
 	// returnTime is the time after which a target that has returned gets as many requests as before, also without
 	// responses: long streams may still be on their way.
@@ -23,22 +24,23 @@
 	accepted int64
 }
 
-// with returns the backoff of a target that wants no requests for d from now on. spread is a random share.
-func (b backoff) with(now time.Time, d time.Duration, share float64) backoff {
+// with returns the backoff of a target that wants no requests for d from now on. spread is used if it begins now.
+func (b backoff) with(now time.Time, d, spread time.Duration) backoff {
 	namedEnd := now.Add(d)
 	if !namedEnd.After(b.namedEnd) {
 		return b
 	}
 	if !now.Before(b.end) {
-		b.spread = spreadOf(d, share)
+		b.spread = spread
 	}
 	return backoff{namedEnd: namedEnd, end: namedEnd.Add(b.spread), spread: b.spread}
 }
 
-// spreadOf returns a share of the time by which a return after d may be later.
-func spreadOf(d time.Duration, share float64) time.Duration {
-	longest := min(max(time.Duration(returnSpread*float64(d)), minReturnSpread), maxReturnSpread)
-	return time.Duration(share * float64(longest))
+// spread returns a random time by which a return after d is later.
+func (t *Table) spread(d time.Duration) time.Duration {
+	_, routers := t.sharers()
+	longest := min(max(time.Duration(returnSpread*float64(d)), routerSpread*time.Duration(routers)), maxReturnSpread)
+	return time.Duration(t.random() * float64(longest))
 }
 
 // rest returns how long the target still gets no requests.
@@ -85,7 +87,7 @@
 	}
 	now := t.timer.Now()
 	before := s.backoff
-	s.backoff = before.with(now, d, t.random())
+	s.backoff = before.with(now, d, t.spread(d))
 	if p := t.pools[poolName]; p != nil {
 		p.wake(t) // Requests that wait for this target only are refused.
 	}
@@ -153,5 +155,5 @@
 	if shortest == 0 {
 		return 0, false
 	}
-	return min(shortest+spreadOf(shortest, t.random()), maxRetryAfter), true
+	return min(shortest+t.spread(shortest), maxRetryAfter), true
 }
--- a/internal/jvtarget/backoff_test.go
+++ b/internal/jvtarget/backoff_test.go
@@ -172,3 +172,43 @@
 		require.Empty(r, failure)
 	})
 }
+
+// TestReturnOfManyRouters guards against all routers of a fleet that return at once to a target which has refused them at
+// the same time: at most a third of them do so in any tenth of a second.
+func TestReturnOfManyRouters(t *testing.T) {
+	const routers, named, step = 83, time.Second, 10 * time.Millisecond
+	inSignTable(t, func(t *testing.T, first *Table) {
+		var tables []*Table
+		for n := range routers {
+			random := rand.New(rand.NewPCG(uint64(n), 0))
+			table := NewTable("a", first.timer, random.Float64).WithSharers(func() (int, int) { return n, routers })
+			setEntries(table, map[string]Process{"t0": {StartedAtMillis: 1}})
+			table.RecordBackoff("p", "t0", 1, named)
+			tables = append(tables, table)
+		}
+		time.Sleep(named)
+		var counts []int // Of routers that return, by step.
+		back := map[*Table]bool{}
+		for range int(maxReturnSpread/step) + 1 {
+			count := 0
+			for _, table := range tables {
+				if name, _ := take(t, table, "1"); name != "" && !back[table] {
+					back[table] = true
+					count++
+				}
+			}
+			counts = append(counts, count)
+			time.Sleep(step)
+		}
+		require.Len(t, back, routers)
+		most := 0
+		for n := range counts {
+			sum := 0
+			for _, c := range counts[n:min(n+10, len(counts))] {
+				sum += c
+			}
+			most = max(most, sum)
+		}
+		require.LessOrEqual(t, most, routers/3)
+	})
+}
