targets: keep the sign of a process whose start another router doesn't know

A response that came through another router may lack the start of the target's process. If the target's entry had lapsed by then, that replaced what the router knew of the process, and the target was used again once the entry was back (TestUnknownStartKeepsSign: the target no longer counted as leaving). Without a start, the known sign stays.

--- a/internal/jvtarget/sign.go
+++ b/internal/jvtarget/sign.go
@@ -73,7 +73,7 @@
 	if p.StartedAtMillis != 0 && p.StartedAtMillis != startedAtMillis {
 		return nil
 	}
-	if s := l.byTarget[name]; s != nil && s.startedAtMillis == startedAtMillis {
+	if s := l.byTarget[name]; s != nil && (startedAtMillis == 0 || s.startedAtMillis == startedAtMillis) {
 		return s
 	}
 	l.limit()
--- a/internal/jvtarget/sign_test.go
+++ b/internal/jvtarget/sign_test.go
@@ -164,3 +164,16 @@
 		require.Equal(t, 1, table.CountSaidLeaving())
 	})
 }
+
+// TestUnknownStartKeepsSign guards against forgetting that a target leaves when another router that doesn't know the start
+// of its process says so once more while the entry has lapsed.
+func TestUnknownStartKeepsSign(t *testing.T) {
+	inSignTable(t, func(t *testing.T, table *Table) {
+		ready := Process{StartedAtMillis: 1}
+		table.RecordLeaving("p", "t0", 1)
+		setEntries(table, map[string]Process{"t1": ready})
+		table.RecordLeaving("p", "t0", 0)
+		setEntries(table, map[string]Process{"t0": ready, "t1": ready})
+		require.True(t, table.Leaves("t0"))
+	})
+}
