--- a/internal/jvrelay/sender.go
+++ b/internal/jvrelay/sender.go
@@ -77,7 +77,7 @@
 	Brittle bool
 	// Leaving is true if the target says of itself that it leaves.
 	Leaving bool
-	// RetryAfter is how long the target, which refused the attempt, wants no others of this router, or 0.
+	// RetryAfter is how long the target wants no requests of this router, or 0.
 	RetryAfter time.Duration
 	// Load is the target's load report, or nil.
 	Load *jvtarget.Load
