--- a/internal/jvtarget/acquire.go
+++ b/internal/jvtarget/acquire.go
@@ -136,9 +136,12 @@
 	index, n := t.sharers()
 	shortest := time.Duration(-1) // Of the waits for targets with a limit.
 	for name, g := range p.targets {
+		if t.isLeaving(g) || t.signs.backoffOf(name).rest(now) > 0 {
+			continue
+		}
 		wait, limited := t.limiter.Wait(name)
 		switch {
-		case t.isLeaving(g), !q.acceptsVersion(g.config), t.unreachable(name), t.signs.backoffOf(name).rest(now) > 0:
+		case g.leaving, !q.acceptsVersion(g.config), t.unreachable(name):
 		case !limited && brittle:
 			slots += shareOf(name, g.config.Slots, index, n)
 		case !limited:
