--- a/internal/jvrelay/sign.go
+++ b/internal/jvrelay/sign.go
@@ -17,7 +17,7 @@
 			r.options.Logger.Info("target wants no requests", "target", a.target, "pool", a.pool, "ms", response.RetryAfter.Milliseconds(), "request", a.request.ID)
 		}
 	case response.Signed && !response.Refused:
-		r.targets.RecordAccepted(a.pool, a.target, a.attemptStartedAt)
+		r.targets.RecordResponse(a.pool, a.target, a.attemptStartedAt)
 	}
 }
 
--- a/internal/jvtarget/backoff.go
+++ b/internal/jvtarget/backoff.go
@@ -94,8 +94,8 @@
 	return before.rest(now) == 0 && s.backoff.rest(now) > 0
 }
 
-// RecordAccepted records that a target has responded to a request that was sent at a time, and has not refused it.
-func (t *Table) RecordAccepted(poolName, name string, sentAt time.Time) {
+// RecordResponse records that a target has responded to a request that was sent at a time, and has not refused it.
+func (t *Table) RecordResponse(poolName, name string, sentAt time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, p, now := t.signs.byTarget[name], t.pools[poolName], t.timer.Now()
--- a/internal/jvtarget/backoff_test.go
+++ b/internal/jvtarget/backoff_test.go
@@ -46,7 +46,7 @@
 		release(ResultInconclusive)
 		first, _ = take(t, table, "3")
 		require.Equal(t, "t0", first, "a refusal without a time lets the next one try")
-		table.RecordAccepted("p", "t0", table.timer.Now())
+		table.RecordResponse("p", "t0", table.timer.Now())
 		second, _ = take(t, table, "4")
 		require.Equal(t, "t0", second, "one more for a response")
 	})
@@ -164,7 +164,7 @@
 					table.RecordBackoff("p", target, 1, s.named)
 					named[target] = now.Add(s.named)
 				} else {
-					table.RecordAccepted("p", target, now)
+					table.RecordResponse("p", target, now)
 				}
 				release(ResultInconclusive)
 			}
