--- a/internal/jvreach/monitor.go
+++ b/internal/jvreach/monitor.go
@@ -1,14 +1,12 @@
 package jvreach
 
 import (
-	"context"
 	"maps"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/jasminevale/jasminevale/internal/jvcodec"
-	"github.com/jasminevale/jasminevale/internal/jvmember"
 )
 
 // Monitor knows which targets this router does not reach although others do. It is safe for concurrent use.
@@ -16,24 +14,28 @@
 	options Options
 
 	mu sync.Mutex
-	// cut is true while no target is reachable from here; otherwise unreachable are those that are not.
+	// unreachable are the targets that answer others and not this router. cut is true while it reaches no target.
 	cut         bool
 	unreachable map[string]bool
 	// attempts is the number of attempts in progress, contactAt when a target last responded to one, or the
-	// first one of those in progress began. respondedAt is when a target last responded.
-	attempts    int
-	contactAt   time.Time
-	respondedAt time.Time
+	// first one of those in progress began. answers are the times at which targets last responded, or accepted a
+	// connection of a check.
+	attempts  int
+	contactAt time.Time
+	answers   map[string]time.Time
 	// failures are the times of the latest failed connections, by target.
 	failures map[string]time.Time
 	// checking is true while a check runs, checkedAt is when the last one that found nothing ended.
 	checking  bool
 	checkedAt time.Time
-	// retrying is true while unreachable targets are tried, retriedAt is when the last try began, and askedAt
-	// when the other routers were last asked for their states.
-	retrying  bool
-	retriedAt time.Time
-	askedAt   time.Time
+	// retrying is true while unreachable targets are tried, retriedAt is when the last try began, downAskedAt
+	// when the others were last asked whether they reach those, and askedAt when they were asked for their states.
+	retrying    bool
+	retriedAt   time.Time
+	downAskedAt time.Time
+	askedAt     time.Time
+	// turn counts the targets that were tried by turns. It is used by one retry at a time.
+	turn int
 	// peers are the states of other routers by name.
 	peers map[string]peer
 	// servedAt is when a router that takes requests was last known, while this one is cut off.
@@ -56,7 +58,7 @@
 // New returns a monitor for which all targets are reachable.
 func New(o Options) *Monitor {
 	m := &Monitor{
-		options: o, unreachable: map[string]bool{}, failures: map[string]time.Time{},
+		options: o, unreachable: map[string]bool{}, failures: map[string]time.Time{}, answers: map[string]time.Time{},
 		peers: map[string]peer{}, questions: map[uint64]chan answer{},
 		// An answer to a question of this router's previous process matches none of this one's.
 		lastNumber: uint64(o.Random() * (1 << 53)),
@@ -83,18 +85,31 @@
 }
 
 // Contact records that a target has responded.
-func (m *Monitor) Contact() {
+func (m *Monitor) Contact(target string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.respondedAt = m.options.Timer.Now()
-	m.contactAt = m.respondedAt
+	m.contactAt = m.options.Timer.Now()
+	m.answers[target] = m.contactAt
 }
 
-// hadContact reports whether a target has responded within a time.
-func (m *Monitor) hadContact(within time.Duration) bool {
+// recordAnswer records that a target has accepted a connection.
+func (m *Monitor) recordAnswer(target string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return !m.respondedAt.IsZero() && m.options.Timer.Since(m.respondedAt) < within
+	m.answers[target] = m.options.Timer.Now()
+}
+
+// answered returns the names of up to n targets that have answered within a time.
+func (m *Monitor) answered(within time.Duration, n int) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var names []string
+	for name, at := range m.answers {
+		if len(names) < n && m.options.Timer.Since(at) < within {
+			names = append(names, name)
+		}
+	}
+	return names
 }
 
 // Unreachable reports whether this router does not reach a target that others reach.
@@ -158,6 +173,7 @@
 func (m *Monitor) tick() {
 	m.mu.Lock()
 	now := m.options.Timer.Now()
+	maps.DeleteFunc(m.answers, func(_ string, at time.Time) bool { return now.Sub(at) > answerAge })
 	silent := m.attempts > 0 && now.Sub(m.contactAt) > silenceTime && m.startCheck(now)
 	unreachable := m.cut || len(m.unreachable) > 0
 	retry := unreachable && !m.retrying && now.Sub(m.retriedAt) >= retryInterval
@@ -188,150 +204,6 @@
 	}
 }
 
-// check connects to a sample of targets, lets other routers try those that it can't reach, and draws the
-// conclusions.
-func (m *Monitor) check(suspects []string) {
-	targets := m.options.Targets()
-	isSuspect := func(t Target) bool { return slices.Contains(suspects, t.Name) }
-	suspected := slices.DeleteFunc(slices.Clone(targets), func(t Target) bool { return !isSuspect(t) })
-	sample := m.sampleOf(suspected, sampleSuspects)
-	sample = append(sample, m.sampleOf(slices.DeleteFunc(targets, isSuspect), sampleOthers)...)
-	reached := m.connect(sample)
-	missing := slices.DeleteFunc(slices.Clone(sample), func(t Target) bool { return reached[t.Name] })
-	others := result{reached: map[string]bool{}}
-	switch {
-	case len(missing) > 0 && len(reached) == 0:
-		others = m.askAboutCut(missing)
-	case len(missing) > 0:
-		others = m.ask(missing)
-	}
-	m.conclude(sample, reached, others)
-}
-
-// askAboutCut asks other routers after no target could be reached. Most of them may be cut off as well, so all are
-// asked whether they have had responses meanwhile.
-func (m *Monitor) askAboutCut(missing []Target) result {
-	results := make(chan result, 2)
-	go func() { results <- m.ask(missing) }()
-	go func() { results <- m.askContacts() }()
-	all := <-results
-	if all.contact || len(all.reached) > 0 {
-		return all
-	}
-	second := <-results
-	return result{answers: all.answers + second.answers, reached: second.reached, contact: second.contact}
-}
-
-// connect returns the targets that accept a connection from here.
-func (m *Monitor) connect(targets []Target) map[string]bool {
-	var mu sync.Mutex
-	reached := map[string]bool{}
-	var connecting sync.WaitGroup
-	for _, t := range targets {
-		connecting.Go(func() {
-			ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
-			defer cancel()
-			if m.options.Connect(ctx, t) {
-				mu.Lock()
-				defer mu.Unlock()
-				reached[t.Name] = true
-			}
-		})
-	}
-	connecting.Wait()
-	return reached
-}
-
-// conclude updates what is unreachable after a check.
-func (m *Monitor) conclude(sample []Target, reached map[string]bool, others result) {
-	m.mu.Lock()
-	now := m.options.Timer.Now()
-	m.checking = false
-	before := len(m.unreachable)
-	for _, t := range sample {
-		if reached[t.Name] {
-			delete(m.failures, t.Name)
-		} else if others.reached[t.Name] {
-			m.unreachable[t.Name] = true
-		}
-	}
-	// Without an answer only this router's own link can be at fault, if it reaches the store and no target at all.
-	alone := others.answers == 0 && len(sample) >= minFailures && m.options.StoreReachable()
-	cut := len(sample) > 0 && len(reached) == 0 && (others.contact || len(others.reached) > 0 || alone)
-	found := cut || len(m.unreachable) > before
-	if !found {
-		m.checkedAt = now
-	}
-	if cut {
-		m.cut = true
-		m.servedAt = now
-	}
-	unreachable := slices.Sorted(maps.Keys(m.unreachable))
-	m.mu.Unlock()
-	if !found {
-		return
-	}
-	m.options.Logger.Info("targets unreachable from here", "cut", cut, "targets", unreachable, "sample", len(sample), "routers", others.answers, "reached", len(others.reached))
-	m.askStates()
-	m.options.Changed(nil)
-}
-
-// retryUnreachable connects to some unreachable targets. Those that accept are reachable again; if several do, all
-// are.
-func (m *Monitor) retryUnreachable() {
-	targets := slices.DeleteFunc(m.options.Targets(), func(t Target) bool { return !m.Unreachable(t.Name) })
-	sample := m.sampleOf(slices.Clone(targets), retryTargets)
-	m.mu.Lock()
-	if len(targets) == 0 { // Their entries are gone.
-		m.cut = false
-		clear(m.unreachable)
-	}
-	m.mu.Unlock()
-	reached := m.connect(sample)
-	m.mu.Lock()
-	m.retrying = false
-	if len(reached) == 0 {
-		m.mu.Unlock()
-		return
-	}
-	all := len(reached) > 1 || len(sample) == 1
-	if all {
-		m.cut = false
-		clear(m.unreachable)
-	} else if m.cut {
-		m.cut = false
-		for _, t := range targets {
-			m.unreachable[t.Name] = true
-		}
-	}
-	for name := range reached {
-		delete(m.unreachable, name)
-		delete(m.failures, name)
-	}
-	left := len(m.unreachable)
-	m.mu.Unlock()
-	m.askStates() // The others know then that this router uses targets again.
-	m.options.Logger.Info("targets reachable again", "reached", slices.Sorted(maps.Keys(reached)), "unreachable", left)
-	var recovered []string
-	for _, t := range targets {
-		if all || reached[t.Name] {
-			recovered = append(recovered, t.Name)
-		}
-	}
-	m.options.Changed(recovered)
-}
-
-// sampleOf returns n random ones of some targets, whose order it changes.
-func (m *Monitor) sampleOf(targets []Target, n int) []Target {
-	sample := make([]Target, 0, n)
-	for len(targets) > 0 && len(sample) < n {
-		i := min(int(m.options.Random()*float64(len(targets))), len(targets)-1)
-		sample = append(sample, targets[i])
-		targets = slices.Delete(targets, i, i+1)
-	}
-	return sample
-}
-
 // Down reports whether a target that accepts no connections from here is down for other routers too. Without their
 // answer it is down if this router reaches any other target.
 func (m *Monitor) Down(t Target) bool {
@@ -341,6 +213,9 @@
 	others := m.ask([]Target{t})
 	switch {
 	case others.reached[t.Name]:
+		if len(m.connect([]Target{t})) > 0 { // It is back.
+			return false
+		}
 		m.mu.Lock()
 		m.unreachable[t.Name] = true
 		m.mu.Unlock()
@@ -351,118 +226,7 @@
 		return true
 	}
 	rest := slices.DeleteFunc(m.options.Targets(), func(other Target) bool { return other.Name == t.Name })
-	return len(rest) == 0 || len(m.connect(m.sampleOf(rest, sampleOthers))) > 0
-}
-
-// result is what other routers answered.
-type result struct {
-	// answers is the number of routers that answered and are not cut off themselves.
-	answers int
-	// reached are the targets that any of them reached.
-	reached map[string]bool
-	// contact is true if any of them has had a response of a target.
-	contact bool
-}
-
-// ask lets some other routers connect to targets, and returns once one of them has reached all of them, all have
-// answered, or it takes too long.
-func (m *Monitor) ask(targets []Target) result {
-	r := result{reached: map[string]bool{}}
-	others := m.options.Others()
-	asked := make([]jvmember.Member, 0, askedRouters)
-	for _, i := range m.randomOrder(len(others)) {
-		if len(asked) < askedRouters && !m.knownCut(others[i].Name) {
-			asked = append(asked, others[i])
-		}
-	}
-	if len(asked) == 0 {
-		return r
-	}
-	names := make([]string, len(targets))
-	for n, t := range targets {
-		names[n] = t.Name
-	}
-	answers, number, forget := m.newQuestion(askedRouters)
-	defer forget()
-	data := jvcodec.Encode(message{Question: &question{Number: number, Targets: names, From: m.options.Self.Name}})
-	for _, other := range asked {
-		m.options.Send(other, data)
-	}
-	timeout := m.options.Timer.After(answerTimeout)
-	for range asked {
-		select {
-		case a := <-answers:
-			if a.Cut {
-				continue
-			}
-			r.answers++
-			for _, name := range a.Reached {
-				r.reached[name] = true
-			}
-			if len(r.reached) >= len(targets) {
-				return r
-			}
-		case <-timeout:
-			return r
-		}
-	}
-	return r
-}
-
-// newQuestion returns the channel for the answers to a new question, and its number. forget ends the question.
-func (m *Monitor) newQuestion(routers int) (answers chan answer, number uint64, forget func()) {
-	answers = make(chan answer, routers)
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.lastNumber++
-	number = m.lastNumber
-	m.questions[number] = answers
-	return answers, number, func() {
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		delete(m.questions, number)
-	}
-}
-
-// askContacts asks all other routers whether targets have responded to them in the last contactTime, during which
-// none has responded to this one.
-func (m *Monitor) askContacts() result {
-	r := result{reached: map[string]bool{}}
-	<-m.options.Timer.After(contactTime)
-	others := m.options.Others()
-	answers, number, forget := m.newQuestion(len(others))
-	defer forget()
-	data := jvcodec.Encode(message{Question: &question{Number: number, Contact: contactTime, From: m.options.Self.Name}})
-	for _, other := range others {
-		m.options.Send(other, data)
-	}
-	timeout := m.options.Timer.After(contactWait)
-	for range others {
-		select {
-		case a := <-answers:
-			if !a.Cut {
-				r.answers++
-			}
-			if a.Contact {
-				r.contact = true
-				return r
-			}
-		case <-timeout:
-			return r
-		}
-	}
-	return r
-}
-
-// randomOrder returns the numbers below n in a random order.
-func (m *Monitor) randomOrder(n int) []int {
-	order := make([]int, n)
-	for i := range order {
-		j := min(int(m.options.Random()*float64(i+1)), i)
-		order[i] = order[j]
-		order[j] = i
-	}
-	return order
+	return len(rest) == 0 || len(m.connect(m.sampleRecent(rest))) > 0
 }
 
 // Receive handles a message of another router; reply sends one back to it.
@@ -486,7 +250,8 @@
 }
 
 func (m *Monitor) answerTo(q question, reached []string) []byte {
-	a := answer{Number: q.Number, From: m.options.Self.Name, Cut: m.Cut(), Reached: reached, Contact: m.hadContact(q.Contact)}
+	a := answer{Number: q.Number, From: m.options.Self.Name, Cut: m.Cut(), Reached: reached, Responded: m.answered(q.Contact, maxResponded)}
+	a.Contact = len(a.Responded) > 0
 	if !a.Cut {
 		a.Room = max(m.options.Room(), 0)
 	}
--- a/internal/jvrelay/attempt.go
+++ b/internal/jvrelay/attempt.go
@@ -69,8 +69,8 @@
 		r.options.Reach.End()
 		return nil, err
 	}
-	response.Body = &contactBody{ReadCloser: response.Body, reach: r.options.Reach}
-	r.options.Reach.Contact()
+	response.Body = &contactBody{ReadCloser: response.Body, reach: r.options.Reach, target: d.Target.Name}
+	r.options.Reach.Contact(d.Target.Name)
 	if response.Load != nil {
 		r.targets.RecordLoad(a.pool, d.Target.Name, *response.Load)
 	}
@@ -90,6 +90,7 @@
 	io.ReadCloser
 
 	reach  *jvreach.Monitor
+	target string
 	closed bool
 }
 
@@ -97,7 +98,7 @@
 func (b *contactBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if n > 0 {
-		b.reach.Contact()
+		b.reach.Contact(b.target)
 	}
 	return n, err
 }
@@ -159,12 +160,15 @@
 	}
 }
 
-// classify turns err into a KindBroken error if the attempt was canceled because it stalled, and
-// into a KindCallerDisconnected error if the caller has disconnected.
+// classify turns err into a KindBroken error if the attempt was canceled because it stalled, into a KindStopped error
+// if this router's stop canceled it, and into a KindCallerDisconnected error if the caller has disconnected.
 func (r *Relay) classify(ctx context.Context, err error) error {
 	if err != nil && errors.Is(context.Cause(ctx), errStalled) {
 		return jvfault.New("attempt", KindBroken, errStalled)
 	}
+	if err != nil && stopped(ctx) && jvfault.KindOf[Kind](err) != KindUnsent {
+		return jvfault.New("attempt", KindStopped, errStopped)
+	}
 	if err != nil && errors.Is(context.Cause(ctx), context.Canceled) {
 		return jvfault.New("attempt", KindCallerDisconnected, err)
 	}
--- a/internal/jvrelay/response.go
+++ b/internal/jvrelay/response.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 
 	"github.com/pkg/errors"
 
@@ -14,14 +15,27 @@
 
 // forwardSigned forwards a response that belongs to the attempt, unless another target gets the request.
 func (r *Relay) forwardSigned(ctx context.Context, a *activeRequest, response *Response, stall stallTimer) error {
+	if err := a.checkContinues(response); err != nil {
+		return err
+	}
 	switch {
 	case response.Status >= http.StatusInternalServerError && r.spendRetry(a):
 		a.retryPaid = true
 		return jvfault.Newf("attempt", KindFailed, "the target answered %d", response.Status)
-	case a.route.Kind == jvroute.KindStream && response.Status == http.StatusOK:
+	case a.route.Kind == jvroute.KindStream && response.isStream():
 		return r.classify(ctx, r.forwardStream(a, response, stall))
 	}
-	return r.classify(ctx, r.forwardResponse(a, response))
+	return r.classify(ctx, r.forwardResponse(ctx, a, response, stall))
+}
+
+// isStream reports whether the body of a response is a series of events.
+func (r *Response) isStream() bool {
+	if r.Status != http.StatusOK || r.Header.Get("Content-Encoding") != "" {
+		return false
+	}
+	media, _, _ := strings.Cut(r.Header.Get("Content-Type"), ";")
+	media = strings.TrimSpace(media)
+	return media == "" || strings.EqualFold(media, "text/event-stream")
 }
 
 // spendRetry reports whether a request to which a target responded with a failure may be sent
@@ -32,7 +46,7 @@
 
 // forwardResponse forwards a response once it is complete, or as it arrives if it exceeds the buffer or
 // the memory that is left.
-func (r *Relay) forwardResponse(a *activeRequest, response *Response) error {
+func (r *Relay) forwardResponse(ctx context.Context, a *activeRequest, response *Response, stall stallTimer) error {
 	buffer := r.options.Memory.NewBuffer(r.options.MaxBufferedBytes)
 	defer buffer.Free()
 	_, err := buffer.ReadFrom(response.Body)
@@ -40,6 +54,13 @@
 	if err != nil && !errors.Is(err, jvmemory.ErrFull) {
 		return jvfault.New("read response", KindBroken, err)
 	}
+	if err != nil {
+		stall.stop() // No other target can continue the response.
+		if ctx.Err() != nil {
+			return jvfault.New("read response", KindBroken, ctx.Err())
+		}
+		a.sealed = true
+	}
 	a.firstByteAt = r.options.Timer.Now()
 	a.status = response.Status
 	a.headersSent = true
@@ -85,22 +106,21 @@
 	const op = "read stream"
 	events := newEventReader(response.Body, r.options.Memory.NewBuffer(maxEventBytes))
 	defer events.free()
-	for received := false; ; received = true {
+	joint := newSplice(a, response)
+	for {
 		e, err := events.next()
-		if errors.Is(err, io.EOF) && response.Unframed && !received {
-			return jvfault.Newf(op, KindBroken, "the connection ended before the first event")
-		}
 		if errors.Is(err, io.EOF) {
 			break
 		}
 		if err != nil {
 			return jvfault.New(op, KindBroken, err)
 		}
-		if e.id >= 0 && a.lastEventID >= 0 && e.id <= a.lastEventID {
-			continue // The target repeats an event that the caller already has.
+		isNew, err := joint.add(e)
+		if err != nil {
+			return err
 		}
-		if e.id >= 0 && a.lastEventID >= 0 && e.id != a.lastEventID+1 {
-			return jvfault.Newf(op, KindCrossed, "event %d came after event %d", e.id, a.lastEventID)
+		if !isNew {
+			continue
 		}
 		if e.hasContent {
 			stall.reset()
@@ -109,6 +129,9 @@
 			return err
 		}
 	}
+	if err := joint.end(); err != nil {
+		return err
+	}
 	if !a.headersSent {
 		a.headersSent = true
 		a.caller.Begin(response.Status, response.Header, 0)
@@ -132,8 +155,10 @@
 	}
 	a.progress = true
 	a.eventsForwarded++
-	if e.id >= 0 {
-		a.lastEventID = e.id
+	if e.id == noID {
+		a.sealed = true // What follows this event can't be requested of another target.
+		return nil
 	}
+	a.lastEventID = e.id
 	return nil
 }
--- a/internal/jvrelay/serve.go
+++ b/internal/jvrelay/serve.go
@@ -30,19 +30,27 @@
 	r.active.Add(1)
 	defer r.active.Add(-1)
 	a := newActiveRequest(q, c)
-	defer r.open.add(&a.open)()
-	p := r.handle(ctx, a)
+	waiting, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer r.open.add(&a.open, cancel)()
+	p := r.handle(waiting, a)
+	if stopped(waiting) && p != nil && p.Status == http.StatusServiceUnavailable {
+		p = stopping("this router stopped before a target ran the request")
+	}
 	if a.proven && a.status < http.StatusInternalServerError {
 		r.crashes.requestCompleted(a.completedFeatures())
 	}
-	switch {
-	case p != nil && a.headersSent:
-		c.Abort()
-	case p != nil:
+	refused := p != nil && !a.headersSent
+	if refused {
 		a.status = p.Status
+	}
+	r.report(ctx, a, p) // Before Abort, which may panic.
+	switch {
+	case refused:
 		c.Refuse(*p)
+	case !a.complete: // The caller may have closed its sending direction only.
+		c.Abort()
 	}
-	r.report(ctx, a, p)
 }
 
 // handle admits the request and runs its attempts, with a reservation if its workspace's budget is
@@ -51,7 +59,7 @@
 	if p := r.admit(a); p != nil {
 		return p
 	}
-	if p := r.refuseLate(a); p != nil {
+	if p := r.refuseLate(ctx, a); p != nil {
 		return p
 	}
 	if !r.options.Quarantine.Loaded() {
@@ -224,13 +232,17 @@
 		a.possibleRuns++
 	}
 	switch {
+	case stopped(ctx) && a.possibleRuns > 0:
+		return mayHaveRun("this router stopped before a complete response arrived"), true
 	case ctx.Err() != nil && a.possibleRuns > 0:
 		return expired("the deadline passed before a complete response arrived"), true
 	case ctx.Err() != nil:
 		return notRun("deadline", "the deadline passed before a target accepted the request", targetRetryAfter), true
-	case kind == KindUnsent && a.notRun < r.options.MaxNotRun:
+	case a.sealed:
+		return mayHaveRun(err.Error()), true
+	case kind == KindUnsent && a.triesUnsent(r.options.MaxNotRun):
 		return nil, false
-	case kind == KindRefused && a.notRun < r.options.MaxNotRun && r.retries.budget(a.pool).Spend():
+	case kind == KindRefused && a.notRun-a.refusals < r.options.MaxNotRun && r.retries.budget(a.pool).Spend():
 		return nil, false
 	case a.possibleRuns == 0:
 		return notRun("overloaded", "no target accepted the request: "+err.Error(), max(targetRetryAfter, r.targets.Rest(r.slotRequest(a)))), true
--- a/internal/jvtarget/backoff.go
+++ b/internal/jvtarget/backoff.go
@@ -141,7 +141,7 @@
 	now := t.timer.Now()
 	shortest := time.Duration(0)
 	for name, g := range p.targets {
-		if accepted, _ := t.inService(g, q); !accepted || !q.acceptsVersion(g.config) || t.unreachable(name) || !g.health.worthWaiting() {
+		if accepted, _ := t.inService(g, q); !accepted || !q.acceptsVersion(g.config) || t.unreachable(name) || !g.health.worthWaiting(now) {
 			continue
 		}
 		rest := t.signs.backoffOf(name).rest(now)
--- a/internal/jvtarget/table.go
+++ b/internal/jvtarget/table.go
@@ -296,7 +296,8 @@
 		if brittle && !g.hasShare(shareOf(name, g.config.Slots, index, n), busy, now) {
 			continue
 		}
-		list = append(list, Candidate{Name: name, Slots: g.config.Slots, Busy: busy, SameZone: g.config.Zone == t.zone})
+		answered := g.health.failures == 0 && !g.respondedAt.IsZero() && now.Sub(g.respondedAt) < answeredAge
+		list = append(list, Candidate{Name: name, Slots: g.config.Slots, Busy: busy, SameZone: g.config.Zone == t.zone, Answered: answered})
 	}
 	list = t.signs.withoutDoubted(list, now)
 	slices.SortFunc(list, func(a, b Candidate) int {
@@ -312,7 +313,7 @@
 func (p *pool) worthWaiting(t *Table, q Request) bool {
 	now := t.timer.Now()
 	for name, g := range p.targets {
-		if accepted, _ := t.inService(g, q); accepted && !t.unreachable(name) && g.health.worthWaiting() && q.accepts(g.config) && t.signs.backoffOf(name).rest(now) == 0 {
+		if accepted, _ := t.inService(g, q); accepted && !t.unreachable(name) && g.health.worthWaiting(now) && q.accepts(g.config) && t.signs.backoffOf(name).rest(now) == 0 {
 			return true
 		}
 	}
@@ -328,6 +329,9 @@
 	if len(list) == 0 {
 		return Lease{}, KindOverloaded
 	}
+	if q.PreferAnswered {
+		list = preferAnswered(list)
+	}
 	i := t.weights.Select(list, q.Prefix, t.random)
 	if i < 0 {
 		return Lease{}, KindOverloaded
