--- a/internal/jvtarget/acquire.go
+++ b/internal/jvtarget/acquire.go
@@ -109,7 +109,7 @@
 		if accepted, _ := t.inService(g, q); accepted && q.acceptsVersion(g.config) && t.unreachable(name) {
 			unreachable++
 		}
-		if g.leaving {
+		if t.isLeaving(g) {
 			leaving++
 		}
 		if !q.acceptsVersion(g.config) {
@@ -122,6 +122,10 @@
 	refusal := newRefusal(KindNoTarget, minRetryAfter, "no target of pool %s accepts requests: %d in all, %d leaving, %d paused, %d avoided after failures, %d of other versions than %q, %d unreachable from here",
 		q.Pool, len(p.targets), leaving, paused, len(q.Avoid), versions, q.Version, unreachable)
 	refusal.Unreachable = unreachable
+	if rest, ok := p.shortestRest(t, q); ok {
+		refusal.Cause.Kind = KindBackoff
+		refusal.RetryAfter = rest
+	}
 	return refusal
 }
 
@@ -129,10 +133,14 @@
 // slots and mean service time, or from the limits of targets if all of them have one.
 func (p *pool) predictWait(t *Table, ahead int, q Request) time.Duration {
 	slots := int64(0)
-	brittle := p.brittle(t.timer.Now())
+	now := t.timer.Now()
+	brittle := p.brittle(now)
 	index, n := t.sharers()
 	shortest := time.Duration(-1) // Of the waits for targets with a limit.
 	for name, g := range p.targets {
+		if t.isLeaving(g) || t.signs.backoffOf(name).rest(now) > 0 {
+			continue
+		}
 		wait, limited := t.limiter.Wait(name)
 		switch {
 		case g.leaving, !q.acceptsVersion(g.config), t.unreachable(name), g.health.refusal != nil:
