--- a/Makefile
+++ b/Makefile
@@ -51,12 +51,12 @@
 deep:
 	@cd internal && JV_SEED=$${JV_SEED:-7} JV_CHECKS=15000 JV_STEPS=600 $(GO) test ./jvfleet -run TestBudgetProperty
 	@cd internal && JV_SEED=$${JV_SEED:-7} JV_CHECKS=20000 $(GO) test ./jvgrant -run TestNeverMoreThanPrepaid
-	@cd platform && for t in FuzzDecodePage FuzzDecodeConfig FuzzDecodeTarget FuzzDecodeParts FuzzResponses; do \
+	@cd platform && for t in FuzzDecodePage FuzzDecodeConfig FuzzDecodeTarget FuzzDecodeParts FuzzDecodeRetryAfter FuzzResponses; do \
 		$(GO) test . -run '^$$' -fuzz $$t -fuzztime 1m || exit 1; done
 	@cd internal && JV_SEED=$${JV_SEED:-7} JV_CHECKS=5000 $(GO) test ./jvversion -run 'TestVersionHistories$$'
 	@cd internal && JV_SEED=$${JV_SEED:-7} JV_CHECKS=10000 $(GO) test ./jvreach -run TestReachHistories
 	@cd internal && $(GO) test ./jvrelay -run TestStreamHistories -rapid.checks=20000
-	@cd internal && for t in jvrelay:FuzzBegunStream jvversion:FuzzReceive jvmember:FuzzDecodeMember jvreach:FuzzReceive jvforward:FuzzAttemptHead jvforward:FuzzResponseHead jvledger:FuzzApply jvledger:FuzzRestore jvsetting:FuzzParseRouter jvoperator:FuzzParseBundle; do \
+	@cd internal && for t in jvrelay:FuzzBegunStream jvsign:FuzzReceive jvversion:FuzzReceive jvmember:FuzzDecodeMember jvreach:FuzzReceive jvforward:FuzzAttemptHead jvforward:FuzzResponseHead jvledger:FuzzApply jvledger:FuzzRestore jvsetting:FuzzParseRouter jvoperator:FuzzParseBundle; do \
 		$(GO) test ./$${t%%:*} -run '^$$' -fuzz $${t##*:} -fuzztime 1m || exit 1; done
 
 # Generates the HTTP code from internal/design and removes the generated clients, which are not used.
--- a/internal/jvforward/slow_test.go
+++ b/internal/jvforward/slow_test.go
@@ -56,4 +56,3 @@
 	last, err := c.Conn.Write(p[len(p)-1:])
 	return n + last, err
 }
-
