--- a/internal/jvrelay/dump.go
+++ b/internal/jvrelay/dump.go
@@ -57,7 +57,7 @@
 	r.options.Meter.Gauge("jv_relay_paused_targets", func() float64 { return float64(r.targets.CountPaused()) })
 	r.options.Meter.Gauge("jv_relay_unreachable_targets", func() float64 { return float64(r.options.Reach.Count()) })
 	r.options.Meter.Gauge("jv_relay_brittle_pools", func() float64 { return float64(r.targets.CountBrittle()) })
-	r.options.Meter.Gauge("jv_relay_leaving_targets", func() float64 { return float64(r.targets.CountSaidLeaving()) })
+	r.options.Meter.Gauge("jv_relay_leaving_targets", func() float64 { return float64(r.targets.CountAnnouncedLeaving()) })
 	r.options.Meter.Gauge("jv_relay_backoff_targets", func() float64 { return float64(r.targets.CountBackoff()) })
 	r.options.Meter.Gauge("jv_relay_doubted_targets", func() float64 { return float64(r.targets.CountDoubted()) })
 	r.options.Meter.Gauge("jv_relay_limited_targets", func() float64 { return float64(r.options.Limits.Count()) })
--- a/internal/jvrelay/options.go
+++ b/internal/jvrelay/options.go
@@ -86,7 +86,7 @@
 	Forwarder Forwarder
 	// TargetsCurrent reports whether the list of targets is up to date.
 	TargetsCurrent func() bool
-	// AnnounceLeaving sends the other routers that a target has said that it leaves.
+	// AnnounceLeaving announces to the other routers that a target leaves.
 	AnnounceLeaving func(p jvsign.Process)
 	// LateDrain is how long after a target was seen to leave it still gets streams that can go on nowhere
 	// else, since all other targets have another version.
--- a/internal/jvrelay/sender.go
+++ b/internal/jvrelay/sender.go
@@ -75,7 +75,7 @@
 	Limit      *float64
 	// Brittle is true if the target names itself brittle: it ends if it has to turn many requests away.
 	Brittle bool
-	// Leaving is true if the target says of itself that it leaves.
+	// Leaving is true if the target announces that it leaves.
 	Leaving bool
 	// RetryAfter is how long the target wants no requests of this router, or 0.
 	RetryAfter time.Duration
--- a/internal/jvrelay/sign.go
+++ b/internal/jvrelay/sign.go
@@ -5,7 +5,7 @@
 	"github.com/jasminevale/jasminevale/internal/jvtarget"
 )
 
-// recordSigns records what a target's response to this router says of the target, before it is passed on.
+// recordSigns records what a target's response announces about the target, before it is passed on.
 func (r *Relay) recordSigns(a *activeRequest, response *Response) {
 	doubted := r.targets.Doubted(a.target)
 	if r.recordLeaving(a, response) && !doubted { // Otherwise another router has sent it to all.
@@ -21,20 +21,20 @@
 	}
 }
 
-// recordLeaving records that a target says in a response, which may have come through another router, that it leaves. It
+// recordLeaving records that a target announces its leaving in a response, which may have come through another router. It
 // reports whether that is new.
 func (r *Relay) recordLeaving(a *activeRequest, response *Response) bool {
 	if !response.Leaving || !r.targets.RecordLeaving(a.pool, a.target, a.targetStartedAt) {
 		return false
 	}
-	r.options.Logger.Info("target says it leaves", "target", a.target, "pool", a.pool, "born", a.targetStartedAt, "request", a.request.ID)
+	r.options.Logger.Info("target announces that it leaves", "target", a.target, "pool", a.pool, "born", a.targetStartedAt, "request", a.request.ID)
 	return true
 }
 
-// Doubt records that another router says of a target's process that it leaves.
+// Doubt records that another router reports a target's process as leaving.
 func (r *Relay) Doubt(p jvsign.Process) {
 	if r.targets.RecordDoubt(p.Target, p.StartedAtMillis) {
-		r.options.Logger.Info("target leaves by another router", "target", p.Target, "born", p.StartedAtMillis)
+		r.options.Logger.Info("target reported as leaving by another router", "target", p.Target, "born", p.StartedAtMillis)
 	}
 }
 
--- a/internal/jvsign/sharing.go
+++ b/internal/jvsign/sharing.go
@@ -17,7 +17,7 @@
 	Others func() []jvmember.Member
 	// Send sends a message to another router; it may be lost.
 	Send func(to jvmember.Member, message []byte)
-	// Received is called for each process of which another router says that it leaves.
+	// Received is called for each process that another router reports as leaving.
 	Received func(p Process)
 }
 
--- a/internal/jvtarget/doubt.go
+++ b/internal/jvtarget/doubt.go
@@ -5,11 +5,11 @@
 	"time"
 )
 
-// doubtTime is how long a target is used last of which only another router says that it leaves. Most targets have left
+// doubtTime is how long a target is selected last that only another router reports as leaving. Most targets have left
 // by then, or their entries show it.
 const doubtTime = 30 * time.Second
 
-// RecordDoubt records that another router says of a target's process that it leaves. The target gets requests only when
+// RecordDoubt records that another router reports a target's process as leaving. The target gets requests only when
 // all others are full, for a time that further messages don't prolong, or until it responds to this router. It reports
 // whether that is new.
 func (t *Table) RecordDoubt(name string, startedAtMillis int64) bool {
@@ -26,7 +26,7 @@
 	return true
 }
 
-// Doubted reports whether another router has said of a target lately that it leaves, and the target has not responded
+// Doubted reports whether another router has lately reported a target as leaving, and the target has not responded
 // since.
 func (t *Table) Doubted(name string) bool {
 	t.mu.Lock()
@@ -34,7 +34,7 @@
 	return t.signs.doubted(name, t.timer.Now())
 }
 
-// CountDoubted returns the number of targets of which only other routers say that they leave.
+// CountDoubted returns the number of targets that only other routers report as leaving.
 func (t *Table) CountDoubted() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/jvtarget/sign.go
+++ b/internal/jvtarget/sign.go
@@ -10,17 +10,17 @@
 	Leaving bool
 }
 
-// sign is what a process of a target has said of itself in its responses.
+// sign is what a process of a target has announced in its responses.
 type sign struct {
 	// startedAtMillis is the start of the process, or 0 if it isn't known.
 	startedAtMillis int64
-	// leavingSince is when the process first said that it leaves.
+	// leavingSince is when the process first announced that it leaves.
 	leavingSince time.Time
 	// entryEnded is true if the entry was removed or leaving since then.
 	entryEnded bool
 	// backoff is the time in which the process wants no requests of this router.
 	backoff backoff
-	// doubtedAt is when another router first said that the process leaves. doubtEnded is true once the process has
+	// doubtedAt is when another router first reported the process as leaving. doubtEnded is true once the process has
 	// responded to this router since.
 	doubtedAt  time.Time
 	doubtEnded bool
@@ -95,7 +95,7 @@
 	delete(l.byTarget, oldest)
 }
 
-// leavingSince returns when a target first said that it leaves, and whether it did.
+// leavingSince returns when a target first announced that it leaves, and whether it did.
 func (l *signs) leavingSince(name string) (time.Time, bool) {
 	s := l.byTarget[name]
 	if s == nil || s.leavingSince.IsZero() {
@@ -104,15 +104,15 @@
 	return s.leavingSince, true
 }
 
-// SetProcesses replaces the processes of all targets that have an entry. What an earlier process of a target has said
-// of itself no longer counts. SetPools must follow.
+// SetProcesses replaces the processes of all targets that have an entry. What an earlier process of a target has
+// announced no longer counts. SetPools must follow.
 func (t *Table) SetProcesses(processes map[string]Process) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.signs.retain(processes)
 }
 
-// RecordLeaving records that a target's process has said in a response that it leaves. The target gets no new requests,
+// RecordLeaving records that a target's process has announced in a response that it leaves. The target gets no new requests,
 // whatever its entry shows, until the entry shows another process. It reports whether that is new.
 func (t *Table) RecordLeaving(poolName, name string, startedAtMillis int64) bool {
 	t.mu.Lock()
@@ -128,7 +128,7 @@
 	return true
 }
 
-// Leaves reports whether a target has said that it leaves.
+// Leaves reports whether a target has announced that it leaves.
 func (t *Table) Leaves(name string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -136,7 +136,7 @@
 	return leaving
 }
 
-// LeavingTargets returns the names of a pool's targets that have said that they leave.
+// LeavingTargets returns the names of a pool's targets that have announced that they leave.
 func (t *Table) LeavingTargets(poolName string) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -153,8 +153,8 @@
 	return names
 }
 
-// CountSaidLeaving returns the number of targets that have said that they leave while their entries did not show it.
-func (t *Table) CountSaidLeaving() int {
+// CountAnnouncedLeaving returns the number of targets that have announced that they leave while their entries did not show it.
+func (t *Table) CountAnnouncedLeaving() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	n := 0
--- a/internal/jvtarget/sign_test.go
+++ b/internal/jvtarget/sign_test.go
@@ -161,7 +161,7 @@
 		require.Len(t, table.signs.byTarget, maxSigns)
 		require.True(t, table.Leaves("t0"), "it has an entry")
 		require.True(t, table.Leaves(fmt.Sprint("gone", 2*maxSigns-1)))
-		require.Equal(t, 1, table.CountSaidLeaving())
+		require.Equal(t, 1, table.CountAnnouncedLeaving())
 	})
 }
 
