--- /dev/null
+++ b/internal/jvend/end.go
@@ -0,0 +1,34 @@
+package jvend
+
+import "net/http"
+
+// End is how a response ended, as far as its receiver can know.
+type End string
+
+// Ends of a response.
+const (
+	// Broken means that the response is not whole: it broke off, or its end has not arrived.
+	Broken End = "broken"
+	// Claimed means that the response ended with its connection. It may be whole, or its sender may have ended.
+	Claimed End = "claimed"
+	// Proven means that the framing of the response, or its content, shows that it is whole.
+	Proven End = "proven"
+)
+
+// Of returns what the end of a response's body is once it has been read to io.EOF: Proven if the response has no body,
+// a length or chunks, else Claimed.
+func Of(r *http.Response) End {
+	method := ""
+	if r.Request != nil {
+		method = r.Request.Method
+	}
+	if Bodiless(method, r.StatusCode) || r.ContentLength >= 0 || len(r.TransferEncoding) > 0 {
+		return Proven
+	}
+	return Claimed
+}
+
+// Bodiless reports whether a response to a method with a status ends with its head.
+func Bodiless(method string, status int) bool {
+	return method == http.MethodHead || status < http.StatusOK || status == http.StatusNoContent || status == http.StatusNotModified
+}
