--- a/internal/jvforward/forward_test.go
+++ b/internal/jvforward/forward_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/jasminevale/jasminevale/internal/jvcodec"
 	"github.com/jasminevale/jasminevale/internal/jvconfig"
+	"github.com/jasminevale/jasminevale/internal/jvend"
 	"github.com/jasminevale/jasminevale/internal/jvfault"
 	"github.com/jasminevale/jasminevale/internal/jvmember"
 	"github.com/jasminevale/jasminevale/internal/jvquarantine"
@@ -91,7 +92,7 @@
 			_ = writer.Close()
 		}()
 		return &jvrelay.Response{
-			Status: 200, Header: http.Header{"X-Server": {"1"}}, Body: reader, Signed: true, Unframed: true,
+			Status: 200, Header: http.Header{"X-Server": {"1"}}, Body: reader, Signed: true, End: jvend.Claimed,
 			Target: jvconfig.Target{Name: "t1", Version: "v1"}, StartedAtMillis: 5,
 		}, nil
 	}
@@ -100,7 +101,7 @@
 	require.Equal(t, newDispatch(), <-got)
 	require.Equal(t, "1", r.Header.Get("X-Server"))
 	require.Equal(t, jvconfig.Target{Name: "t1", Version: "v1"}, r.Target)
-	require.True(t, r.Signed && r.Unframed && !r.Refused && r.Status == 200 && r.StartedAtMillis == 5)
+	require.True(t, r.Signed && r.End == jvend.Claimed && !r.Refused && r.Status == 200 && r.StartedAtMillis == 5)
 	for _, part := range []string{"one", "three"} {
 		next <- part
 		buffer := make([]byte, len(part))
--- a/internal/jvforward/message.go
+++ b/internal/jvforward/message.go
@@ -8,6 +8,7 @@
 
 	"github.com/jasminevale/jasminevale/internal/jvcodec"
 	"github.com/jasminevale/jasminevale/internal/jvconfig"
+	"github.com/jasminevale/jasminevale/internal/jvend"
 	"github.com/jasminevale/jasminevale/internal/jvfault"
 	"github.com/jasminevale/jasminevale/internal/jvquarantine"
 	"github.com/jasminevale/jasminevale/internal/jvrelay"
@@ -108,7 +109,8 @@
 	Refused       bool        `cbor:"refused,omitempty"`
 	WrongInstance bool        `cbor:"displaced,omitempty"`
 	Signed        bool        `cbor:"signed,omitempty"`
-	Unframed      bool        `cbor:"unframed,omitempty"`
+	// Unframed is true if the end of the target's response is claimed only.
+	Unframed bool `cbor:"unframed,omitempty"`
 	// Leaving is missing in the responses of earlier builds.
 	Leaving bool `cbor:"leaving,omitempty"`
 }
@@ -116,7 +118,7 @@
 func newResponseHead(nonce string, r *jvrelay.Response) responseHead {
 	return responseHead{
 		For: nonce, Target: r.Target.Name, Version: r.Target.Version, Born: r.StartedAtMillis, Status: r.Status, Header: r.Header,
-		Refused: r.Refused, WrongInstance: r.WrongInstance, Signed: r.Signed, Unframed: r.Unframed, Leaving: r.Leaving,
+		Refused: r.Refused, WrongInstance: r.WrongInstance, Signed: r.Signed, Unframed: r.End != jvend.Proven, Leaving: r.Leaving,
 	}
 }
 
@@ -126,9 +128,13 @@
 	if header == nil {
 		header = http.Header{}
 	}
+	end := jvend.Proven
+	if h.Unframed {
+		end = jvend.Claimed
+	}
 	return &jvrelay.Response{
 		Status: h.Status, Header: header, Body: body, Refused: h.Refused, WrongInstance: h.WrongInstance, Signed: h.Signed,
-		Unframed: h.Unframed, Leaving: h.Leaving, Target: jvconfig.Target{Name: h.Target, Version: h.Version}, StartedAtMillis: h.Born,
+		End: end, Leaving: h.Leaving, Target: jvconfig.Target{Name: h.Target, Version: h.Version}, StartedAtMillis: h.Born,
 	}
 }
 
--- a/internal/jvmeter/relay.go
+++ b/internal/jvmeter/relay.go
@@ -61,6 +61,12 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("jv_relay_crashes_total{pool=%q,evidence=%q}", pool, evidence)).Inc()
 }
 
+// CountEnd counts a response that has begun, by the end that its target's framing can show, by how it ended, and by the
+// caller's version of HTTP.
+func (m *Relay) CountEnd(framing, end, protocol string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("jv_relay_ends_total{framing=%q,end=%q,protocol=%q}", framing, end, protocol)).Inc()
+}
+
 // Gauge registers a gauge that is read when the metrics are written; name may include labels.
 func (m *Relay) Gauge(name string, read func() float64) { m.set.GetOrCreateGauge(name, read) }
 
--- a/internal/jvrelay/active.go
+++ b/internal/jvrelay/active.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/jasminevale/jasminevale/internal/jvconfig"
+	"github.com/jasminevale/jasminevale/internal/jvend"
 	"github.com/jasminevale/jasminevale/internal/jvquarantine"
 	"github.com/jasminevale/jasminevale/internal/jvroute"
 	"github.com/jasminevale/jasminevale/internal/jvversion"
@@ -66,10 +67,11 @@
 	lastEventID     int64
 	eventsForwarded int64
 	firstByteAt     time.Time
-	// complete is true once the whole response was forwarded, proven if its framing shows that it is whole.
-	complete bool
-	proven   bool
-	status   int
+	// framing is the end that the latest target's response can show.
+	framing jvend.End
+	// end is how the response ended: jvend.Broken until all of it was forwarded.
+	end    jvend.End
+	status int
 	// retryPaid is true if the next attempt has already been taken out of the retry budget.
 	retryPaid bool
 	// cause is the text of the latest error.
@@ -79,7 +81,7 @@
 }
 
 func newActiveRequest(q *Request, c Caller) *activeRequest {
-	a := &activeRequest{request: q, lastEventID: -1, deadline: q.Deadline, open: openRequest{id: q.ID, arrivedAt: q.ArrivedAt}}
+	a := &activeRequest{request: q, lastEventID: -1, end: jvend.Broken, deadline: q.Deadline, open: openRequest{id: q.ID, arrivedAt: q.ArrivedAt}}
 	a.caller = countingCaller{Caller: c, open: &a.open}
 	if n, err := strconv.ParseInt(q.LastEventID, 10, 64); err == nil {
 		a.lastEventID = n
@@ -141,7 +143,7 @@
 		return 0
 	}
 	events := a.eventsForwarded
-	if !a.complete {
+	if a.end == jvend.Broken {
 		events += unseenEvents
 	}
 	return u.PromptTokens + min(u.OutputTokens, events*a.maxEventTokens)
--- a/internal/jvrelay/attempt.go
+++ b/internal/jvrelay/attempt.go
@@ -118,6 +118,7 @@
 	if err := response.failure(); err != nil {
 		return err
 	}
+	a.framing = response.End
 	return r.forwardSigned(ctx, a, response, stall)
 }
 
--- a/internal/jvrelay/durations.go
+++ b/internal/jvrelay/durations.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/jasminevale/jasminevale/internal/jvend"
 )
 
 // maxDurations is the number of whole responses of a route that are remembered.
@@ -71,7 +73,7 @@
 
 // recordDuration records how long a whole response took.
 func (r *Relay) recordDuration(a *activeRequest, now time.Time) {
-	if !a.complete || a.status >= http.StatusMultipleChoices || a.firstByteAt.IsZero() {
+	if a.end == jvend.Broken || a.status >= http.StatusMultipleChoices || a.firstByteAt.IsZero() {
 		return
 	}
 	r.durations.add(a.route.Name, duration{
--- a/internal/jvrelay/fake_test.go
+++ b/internal/jvrelay/fake_test.go
@@ -104,7 +104,7 @@
 	}
 	return &Response{
 		Status: c.status, Header: http.Header{}, Body: io.NopCloser(&scriptBody{ctx: ctx, rest: c.body, script: c}),
-		Refused: c.refused || c.wrongInstance, WrongInstance: c.wrongInstance, Signed: !c.unsigned, Unframed: c.unframed,
+		Refused: c.refused || c.wrongInstance, WrongInstance: c.wrongInstance, Signed: !c.unsigned, End: endOf(c.unframed),
 		Limit: c.limit, NamesLimit: c.limit != nil || c.namesLimit, Unidentified: c.unidentified, Leaving: c.leaving, RetryAfter: c.retryAfter,
 	}, nil
 }
--- a/internal/jvrelay/forward_test.go
+++ b/internal/jvrelay/forward_test.go
@@ -37,7 +37,7 @@
 	}
 	return &Response{
 		Status: c.status, Header: http.Header{}, Body: io.NopCloser(&scriptBody{ctx: ctx, rest: c.body, script: c}),
-		Refused: c.refused, Signed: !c.unsigned, Target: jvconfig.Target{Name: "t9", Version: "v1"}, Leaving: c.leaving,
+		Refused: c.refused, Signed: !c.unsigned, End: endOf(c.unframed), Target: jvconfig.Target{Name: "t9", Version: "v1"}, Leaving: c.leaving,
 	}, nil
 }
 
--- a/internal/jvrelay/report.go
+++ b/internal/jvrelay/report.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/jasminevale/jasminevale/internal/jvend"
 	"github.com/jasminevale/jasminevale/internal/jvmeter"
 	"github.com/jasminevale/jasminevale/internal/jvquarantine"
 )
@@ -24,9 +25,9 @@
 		outcome = outcomeCut
 	case p != nil:
 		outcome = p.Name
-	case !a.complete && r.drained.Load():
+	case a.end == jvend.Broken && r.drained.Load():
 		outcome = outcomeCut
-	case !a.complete:
+	case a.end == jvend.Broken:
 		outcome = outcomeGone
 	}
 	r.open.countEnd(outcome, p)
@@ -36,6 +37,10 @@
 		"workspace", a.workspace, "pool", a.pool, "target", a.target, "build", a.version, "via", a.via, "tries", a.attempts, "runs", a.possibleRuns,
 		"events", a.eventsForwarded, "ms", now.Sub(a.request.ArrivedAt).Milliseconds(),
 	}
+	if a.headersSent {
+		values = append(values, "framing", a.framing, "end", a.end, "protocol", a.request.Protocol)
+		r.options.Meter.CountEnd(string(a.framing), string(a.end), a.request.Protocol)
+	}
 	if !a.firstByteAt.IsZero() {
 		values = append(values, "first", a.firstByteAt.Sub(a.request.ArrivedAt).Milliseconds())
 	}
--- a/internal/jvrelay/request.go
+++ b/internal/jvrelay/request.go
@@ -34,6 +34,8 @@
 	// Header holds the end-to-end headers, which are forwarded.
 	Header http.Header
 	Body   []byte
+	// Protocol is the version of HTTP that the caller uses, as in its request line, or empty.
+	Protocol string
 	// Key is the workspace's key, or empty.
 	Key       string
 	ArrivedAt time.Time
--- a/internal/jvrelay/response.go
+++ b/internal/jvrelay/response.go
@@ -95,8 +95,7 @@
 // finish records that the complete response was forwarded.
 func (r *Relay) finish(a *activeRequest, response *Response) error {
 	a.possibleRuns++
-	a.complete = true
-	a.proven = !response.Unframed
+	a.end = response.End
 	return nil
 }
 
--- a/internal/jvrelay/response_test.go
+++ b/internal/jvrelay/response_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/jasminevale/jasminevale/internal/jvconfig"
+	"github.com/jasminevale/jasminevale/internal/jvend"
 	"github.com/jasminevale/jasminevale/internal/jvfault"
 	"github.com/jasminevale/jasminevale/internal/jvroute"
 )
@@ -30,6 +31,14 @@
 	unsigned bool
 }
 
+// endOf returns the end of a response without a length if unframed is true.
+func endOf(unframed bool) jvend.End {
+	if unframed {
+		return jvend.Claimed
+	}
+	return jvend.Proven
+}
+
 // answerSender answers attempts in order and records them.
 type answerSender struct {
 	answers []func(d Dispatch) answer
@@ -52,7 +61,7 @@
 	if a.header == nil {
 		a.header = http.Header{}
 	}
-	return &Response{Status: a.status, Header: a.header, Body: io.NopCloser(body), Signed: !a.unsigned, Unframed: a.unframed}, nil
+	return &Response{Status: a.status, Header: a.header, Body: io.NopCloser(body), Signed: !a.unsigned, End: endOf(a.unframed)}, nil
 }
 
 // callerRecord is what a caller received.
@@ -198,5 +207,5 @@
 		_ = writer.Close()
 	}()
 	context.AfterFunc(ctx, func() { _ = writer.CloseWithError(ctx.Err()) })
-	return &Response{Status: http.StatusOK, Header: http.Header{}, Body: reader, Signed: true}, nil
+	return &Response{Status: http.StatusOK, Header: http.Header{}, Body: reader, Signed: true, End: jvend.Proven}, nil
 }
--- a/internal/jvrelay/sender.go
+++ b/internal/jvrelay/sender.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jasminevale/jasminevale/internal/jvconfig"
+	"github.com/jasminevale/jasminevale/internal/jvend"
 	"github.com/jasminevale/jasminevale/internal/jvmember"
 	"github.com/jasminevale/jasminevale/internal/jvquarantine"
 	"github.com/jasminevale/jasminevale/internal/jvtarget"
@@ -66,9 +67,9 @@
 	Unidentified bool
 	// Signed is true if the response bears the target's signature and the request's ID.
 	Signed bool
-	// Unframed is true if the body ends with its connection. Its end looks like the end of the target's
-	// process then.
-	Unframed bool
+	// End is what the end of the body shows once it has been read: Claimed if the body ends with its connection, which
+	// looks like the end of the target's process.
+	End jvend.End
 	// NamesLimit is true if the target names how many requests a second it takes from all routers together.
 	// Limit is that number, or nil if it can't be read.
 	NamesLimit bool
--- a/internal/jvrelay/serve.go
+++ b/internal/jvrelay/serve.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/jasminevale/jasminevale/internal/jvend"
 	"github.com/jasminevale/jasminevale/internal/jvfault"
 	"github.com/jasminevale/jasminevale/internal/jvgrant"
 	"github.com/jasminevale/jasminevale/internal/jvtarget"
@@ -37,7 +38,7 @@
 	if stopped(waiting) && p != nil && p.Status == http.StatusServiceUnavailable {
 		p = stopping("this router stopped before a target ran the request")
 	}
-	if a.proven && a.status < http.StatusInternalServerError {
+	if a.end == jvend.Proven && a.status < http.StatusInternalServerError {
 		r.crashes.requestCompleted(a.completedFeatures())
 	}
 	refused := p != nil && !a.headersSent
@@ -48,7 +49,7 @@
 	switch {
 	case refused:
 		c.Refuse(*p)
-	case !a.complete: // The caller may have closed its sending direction only.
+	case a.end == jvend.Broken: // The caller may have closed its sending direction only.
 		c.Abort()
 	}
 }
--- a/internal/jvrelay/splice.go
+++ b/internal/jvrelay/splice.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"github.com/jasminevale/jasminevale/internal/jvend"
 	"github.com/jasminevale/jasminevale/internal/jvfault"
 )
 
@@ -33,14 +34,15 @@
 	latest int64
 	// continues is true if the caller's response began with another target's.
 	continues bool
-	unframed  bool
+	// target is what the end of the response shows.
+	target jvend.End
 	// received is true once the response has brought an event, forwarded once that was new to the caller.
 	received  bool
 	forwarded bool
 }
 
 func newSplice(a *activeRequest, response *Response) *splice {
-	return &splice{last: a.lastEventID, latest: noID, continues: a.headersSent, unframed: response.Unframed}
+	return &splice{last: a.lastEventID, latest: noID, continues: a.headersSent, target: response.End}
 }
 
 // add reports whether the next event of the response is new to the caller. It returns an error if the event doesn't
@@ -72,7 +74,7 @@
 func (s *splice) end() error {
 	const op = "read stream"
 	switch {
-	case s.unframed && !s.forwarded:
+	case s.target != jvend.Proven && !s.forwarded:
 		return jvfault.Newf(op, KindBroken, "the connection ended before the first event")
 	case s.continues && !s.received:
 		return jvfault.Newf(op, KindCrossed, "the stream ended without an event after event %d", s.last)
--- a/internal/jvrelay/stream_history_test.go
+++ b/internal/jvrelay/stream_history_test.go
@@ -17,6 +17,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/jasminevale/jasminevale/internal/jvconfig"
+	"github.com/jasminevale/jasminevale/internal/jvend"
 	"github.com/jasminevale/jasminevale/internal/jvfault"
 	"github.com/jasminevale/jasminevale/internal/jvroute"
 	"github.com/jasminevale/jasminevale/internal/jvversion"
@@ -62,7 +63,7 @@
 		defer s.restart(d.Target.Name)
 	}
 	after, _ := strconv.Atoi(d.LastEventID)
-	r := &Response{Status: http.StatusOK, Header: http.Header{"Content-Type": {"text/event-stream"}}, Signed: true}
+	r := &Response{Status: http.StatusOK, Header: http.Header{"Content-Type": {"text/event-stream"}}, Signed: true, End: jvend.Proven}
 	all := historyStream(version, after)
 	body, cut := strings.Join(all, ""), false
 	text := func(status int, kind string) {
@@ -72,7 +73,7 @@
 	}
 	switch step.Kind {
 	case 0:
-		r.Unframed = step.Events > 2 && len(all) > 0
+		r.End = endOf(step.Events > 2 && len(all) > 0)
 	case 1: // Breaks off after some events.
 		body, cut = strings.Join(all[:min(step.Events, len(all))], ""), true
 	case 2: // Breaks off within an event.
