Responses that end with their connection reach callers without a framing that shows an end

Callers got a response that broke off as complete: a stream without a length ended with the last chunk, a plain response without one got a Content-Length of what had arrived, or of 0 after the head alone. Cause: such a response ends with its connection, also when its server has ended, and the router stated that end in its own framing. Class: each writer of an end decided by itself what it rests on. Now jvend.End goes with the response to the caller: Caller.Begin gets the most that the framing may show, and Caller.End how the response ended. A claimed end is passed on without a length and without chunks, so that the caller knows as much as the router. A stream whose framing shows more goes on at another target, within the retry budget; if that has no events after the same one, two targets agree on the end. A success without a byte of body counts as broken.

--- a/internal/jvrelay/active.go
+++ b/internal/jvrelay/active.go
@@ -64,11 +64,16 @@
 	// sealed is true once no other target can continue the response.
 	sealed bool
 	// lastEventID is the ID of the last event that the caller has, or -1.
-	lastEventID     int64
+	lastEventID int64
+	// claimedAfter is the ID of the event after which a target's response ended with its connection, while the
+	// framing of the caller's shows more; or noID.
+	claimedAfter    int64
 	eventsForwarded int64
 	firstByteAt     time.Time
 	// framing is the end that the latest target's response can show.
 	framing jvend.End
+	// shown is the end that the framing of the caller's response shows.
+	shown jvend.End
 	// end is how the response ended: jvend.Broken until all of it was forwarded.
 	end    jvend.End
 	status int
@@ -81,7 +86,7 @@
 }
 
 func newActiveRequest(q *Request, c Caller) *activeRequest {
-	a := &activeRequest{request: q, lastEventID: -1, end: jvend.Broken, deadline: q.Deadline, open: openRequest{id: q.ID, arrivedAt: q.ArrivedAt}}
+	a := &activeRequest{request: q, lastEventID: -1, claimedAfter: noID, end: jvend.Broken, deadline: q.Deadline, open: openRequest{id: q.ID, arrivedAt: q.ArrivedAt}}
 	a.caller = countingCaller{Caller: c, open: &a.open}
 	if n, err := strconv.ParseInt(q.LastEventID, 10, 64); err == nil {
 		a.lastEventID = n
--- a/internal/jvrelay/error.go
+++ b/internal/jvrelay/error.go
@@ -25,6 +25,8 @@
 	KindCrossed Kind = "crossed"
 	// KindCallerDisconnected means that the caller has disconnected.
 	KindCallerDisconnected Kind = "gone"
+	// KindClaimed means that the response ended with its connection where only a framing that shows its end would do.
+	KindClaimed Kind = "claimed"
 	// KindStopped means that this router's stop ended the attempt, which may have run.
 	KindStopped Kind = "stopped"
 )
--- a/internal/jvrelay/open.go
+++ b/internal/jvrelay/open.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/jasminevale/jasminevale/internal/jvend"
 )
 
 // maxOpenLines limits the lines that EndDrain writes.
@@ -202,9 +204,9 @@
 }
 
 // Begin implements Caller.
-func (c countingCaller) Begin(status int, header http.Header, length int64) {
+func (c countingCaller) Begin(status int, header http.Header, length int64, end jvend.End) {
 	c.open.update(func(o *openRequest) { o.begun = true })
-	c.Caller.Begin(status, header, length)
+	c.Caller.Begin(status, header, length, end)
 }
 
 // Write implements Caller.
--- a/internal/jvrelay/report.go
+++ b/internal/jvrelay/report.go
@@ -38,8 +38,8 @@
 		"events", a.eventsForwarded, "ms", now.Sub(a.request.ArrivedAt).Milliseconds(),
 	}
 	if a.headersSent {
-		values = append(values, "framing", a.framing, "end", a.end, "protocol", a.request.Protocol)
-		r.options.Meter.CountEnd(string(a.framing), string(a.end), a.request.Protocol)
+		values = append(values, "framing", a.framing.String(), "end", a.end.String(), "protocol", a.request.Protocol)
+		r.options.Meter.CountEnd(a.framing.String(), a.end.String(), a.request.Protocol)
 	}
 	if !a.firstByteAt.IsZero() {
 		values = append(values, "first", a.firstByteAt.Sub(a.request.ArrivedAt).Milliseconds())
--- a/internal/jvrelay/response.go
+++ b/internal/jvrelay/response.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/jasminevale/jasminevale/internal/jvend"
 	"github.com/jasminevale/jasminevale/internal/jvfault"
 	"github.com/jasminevale/jasminevale/internal/jvmemory"
 	"github.com/jasminevale/jasminevale/internal/jvroute"
@@ -61,22 +62,33 @@
 		}
 		a.sealed = true
 	}
+	if err == nil && response.endsAtHead(buffer.Bytes()) {
+		return jvfault.Newf("read response", KindBroken, "the connection ended after the head")
+	}
 	a.firstByteAt = r.options.Timer.Now()
-	a.status = response.Status
-	a.headersSent = true
 	if err != nil {
 		return r.forwardLongResponse(a, response, buffer.Bytes())
 	}
-	a.caller.Begin(response.Status, response.Header, int64(len(buffer.Bytes())))
+	length := int64(len(buffer.Bytes()))
+	if response.End != jvend.Proven {
+		length = -1
+	}
+	a.begin(response, length)
 	if err := a.caller.Write(buffer.Bytes()); err != nil {
 		return jvfault.New("forward response", KindCallerDisconnected, err)
 	}
-	return r.finish(a, response)
+	return a.finish(response.End)
+}
+
+// endsAtHead reports whether a success ended with its connection before a byte of its body: a target that ends after
+// its head looks the same.
+func (r *Response) endsAtHead(body []byte) bool {
+	return r.End != jvend.Proven && r.Status < http.StatusMultipleChoices && len(body) == 0
 }
 
 // forwardLongResponse forwards what was read of a response, and the rest as it arrives.
 func (r *Relay) forwardLongResponse(a *activeRequest, response *Response, begun []byte) error {
-	a.caller.Begin(response.Status, response.Header, -1)
+	a.begin(response, -1)
 	for part := begun; ; {
 		if err := a.caller.Write(part); err != nil {
 			return jvfault.New("forward response", KindCallerDisconnected, err)
@@ -85,17 +97,30 @@
 		part = begun[:n]
 		switch {
 		case errors.Is(err, io.EOF) && n == 0:
-			return r.finish(a, response)
+			return a.finish(response.End)
 		case err != nil && !errors.Is(err, io.EOF):
 			return jvfault.New("read response", KindBroken, err)
 		}
 	}
 }
 
-// finish records that the complete response was forwarded.
-func (r *Relay) finish(a *activeRequest, response *Response) error {
+// begin begins the caller's response with a target's; length is the size of its body in bytes, or -1 if unknown.
+func (a *activeRequest) begin(response *Response, length int64) {
+	a.headersSent = true
+	a.status = response.Status
+	a.shown = response.End
+	a.caller.Begin(response.Status, response.Header, length, response.End)
+}
+
+// finish records that the whole of a target's response was forwarded. It returns an error if its end shows less than the
+// framing of the caller's response.
+func (a *activeRequest) finish(end jvend.End) error {
+	if !end.Shows(a.shown) {
+		a.claimedAfter = a.lastEventID
+		return jvfault.Newf("end response", KindClaimed, "the response ended with its connection, and the caller's has a framing that shows more")
+	}
 	a.possibleRuns++
-	a.end = response.End
+	a.end = end
 	return nil
 }
 
@@ -132,19 +157,16 @@
 		return err
 	}
 	if !a.headersSent {
-		a.headersSent = true
-		a.caller.Begin(response.Status, response.Header, 0)
+		a.begin(response, 0)
 	}
-	return r.finish(a, response)
+	return a.finish(response.End)
 }
 
 func (r *Relay) forwardEvent(a *activeRequest, response *Response, e event) error {
 	if !a.headersSent {
 		r.bindBegun(a)
-		a.headersSent = true
-		a.status = response.Status
 		a.firstByteAt = r.options.Timer.Now()
-		a.caller.Begin(response.Status, response.Header, -1)
+		a.begin(response, -1)
 	}
 	if err := a.caller.Write(e.raw); err != nil {
 		return jvfault.New("forward stream", KindCallerDisconnected, err)
--- a/internal/jvrelay/sender.go
+++ b/internal/jvrelay/sender.go
@@ -112,12 +112,13 @@
 // Caller receives the response to a request.
 type Caller interface {
 	// Begin sends the status and headers of a target's response; length is the size of its body
-	// in bytes, or -1 if unknown.
-	Begin(status int, header http.Header, length int64)
+	// in bytes, or -1 if unknown. The framing of the response shows end at most: a Claimed one ends with its connection.
+	Begin(status int, header http.Header, length int64, end jvend.End)
 	// Write sends a part of the body and flushes it.
 	Write(p []byte) error
 	// Refuse sends an error response of the router itself; it must not follow Begin.
 	Refuse(p Problem)
-	// Abort ends the response in a way that the client can't mistake for a complete one.
-	Abort()
+	// End ends the response. If it is Broken, or shows less than the framing that has begun, it is ended in a way that
+	// the client can't mistake for a complete one. End may panic.
+	End(e jvend.End)
 }
--- a/internal/jvrelay/serve.go
+++ b/internal/jvrelay/serve.go
@@ -45,13 +45,12 @@
 	if refused {
 		a.status = p.Status
 	}
-	r.report(ctx, a, p) // Before Abort, which may panic.
-	switch {
-	case refused:
+	r.report(ctx, a, p) // Before End, which may panic.
+	if refused {
 		c.Refuse(*p)
-	case a.end == jvend.Broken: // The caller may have closed its sending direction only.
-		c.Abort()
+		return
 	}
+	c.End(a.end) // Also after the caller has left: it may have closed its sending direction only.
 }
 
 // handle admits the request and runs its attempts, with a reservation if its workspace's budget is
--- a/internal/jvrelay/splice.go
+++ b/internal/jvrelay/splice.go
@@ -36,13 +36,15 @@
 	continues bool
 	// target is what the end of the response shows.
 	target jvend.End
+	// agreed is true if another target's response ended with its connection after the event last.
+	agreed bool
 	// received is true once the response has brought an event, forwarded once that was new to the caller.
 	received  bool
 	forwarded bool
 }
 
 func newSplice(a *activeRequest, response *Response) *splice {
-	return &splice{last: a.lastEventID, latest: noID, continues: a.headersSent, target: response.End}
+	return &splice{last: a.lastEventID, latest: noID, continues: a.headersSent, target: response.End, agreed: a.lastEventID != noID && a.claimedAfter == a.lastEventID}
 }
 
 // add reports whether the next event of the response is new to the caller. It returns an error if the event doesn't
@@ -70,13 +72,13 @@
 }
 
 // end returns an error unless the end of the response shows that the caller has the whole stream. A response that
-// joins no event to those of another target may be one to anything.
+// joins no event to those of another target may be one to anything, unless that one has ended there as well.
 func (s *splice) end() error {
 	const op = "read stream"
 	switch {
 	case s.target != jvend.Proven && !s.forwarded:
 		return jvfault.Newf(op, KindBroken, "the connection ended before the first event")
-	case s.continues && !s.received:
+	case s.continues && !s.received && !s.agreed:
 		return jvfault.Newf(op, KindCrossed, "the stream ended without an event after event %d", s.last)
 	case s.received && s.latest < s.last:
 		return jvfault.Newf(op, KindCrossed, "the stream ended at event %d, before event %d", s.latest, s.last)
