Check the end of a response without a length against its target's process

Callers saw a response without a length as ended like its server's, although the server's process had ended: its machine refused connections right after the close, or its entry had another start time. Cause: nothing looked at the target once its connection had ended. Now the body of such a response, when it has been read to its end, asks for evidence in one place (Relay.checkEnd): the entries (another start time, another instance at the address), then one connection to the target, which the crash detector uses as well instead of one of its own. With evidence the body ends with an error: plain responses, long ones, streams and attempts for other routers break as those that are cut do, go on elsewhere under the same rules, and are reported as crashes by the same rules. Not evidence: a machine that does not respond (a cut, a lost packet), and an entry that is gone while the target accepts connections (targets that leave unannounced serve on).

--- a/internal/jvrelay/active.go
+++ b/internal/jvrelay/active.go
@@ -37,6 +37,10 @@
 	// of the response.
 	attemptStartedAt time.Time
 	progress         bool
+	// probed is how the machine of the latest attempt's target responded to a connection after the attempt, or "".
+	// ended is what has shown that its process ended with a response that has no length, or "".
+	probed ProbeResult
+	ended  evidence
 	// targetStartedAt is the start of the latest target's process in Unix milliseconds, or 0.
 	targetStartedAt int64
 	// version is the version of the latest target's software, or "" if it isn't known.
@@ -99,6 +103,7 @@
 	a.attempts++
 	a.attemptStartedAt = now
 	a.progress = false
+	a.probed, a.ended = "", ""
 	a.via = t.peer.Name
 	a.setTarget(t.lease.Target, 0) // Another router names the target with its response.
 }
--- a/internal/jvrelay/attempt.go
+++ b/internal/jvrelay/attempt.go
@@ -82,7 +82,7 @@
 	if response.WrongInstance {
 		r.registry.markDisplaced(d.Target.Name)
 	}
-	return response, nil
+	return r.withCheckedEnd(ctx, a, d.Target, response), nil
 }
 
 // contactBody is the body of a target's response, each part of which shows that this router reaches targets.
--- /dev/null
+++ b/internal/jvrelay/claim.go
@@ -0,0 +1,100 @@
+package jvrelay
+
+import (
+	"context"
+	"io"
+
+	"github.com/pkg/errors"
+
+	"github.com/jasminevale/jasminevale/internal/jvconfig"
+	"github.com/jasminevale/jasminevale/internal/jvend"
+	"github.com/jasminevale/jasminevale/internal/jvreach"
+)
+
+// claimedBody is the body of a response that ends with its connection. Its end is an error if the target's process has
+// ended as well.
+type claimedBody struct {
+	io.ReadCloser
+
+	// check returns io.EOF, or what shows that the process has ended.
+	check func() error
+	// end is what check returned, or nil.
+	end error
+}
+
+// withCheckedEnd returns a target's response whose body ends with an error if its end is only claimed, and the target's
+// process has ended with it.
+func (r *Relay) withCheckedEnd(ctx context.Context, a *activeRequest, t jvconfig.Target, response *Response) *Response {
+	if response.End == jvend.Claimed {
+		response.Body = &claimedBody{ReadCloser: response.Body, check: func() error { return r.checkEnd(ctx, a, t) }}
+	}
+	return response
+}
+
+// Read implements io.Reader.
+func (b *claimedBody) Read(p []byte) (int, error) {
+	if b.end != nil {
+		return 0, b.end
+	}
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.end = b.check()
+		err = b.end
+	}
+	return n, err
+}
+
+// checkEnd looks for evidence that a target's process has ended with the connection that ended its response. It returns
+// io.EOF if there is none.
+func (r *Relay) checkEnd(ctx context.Context, a *activeRequest, t jvconfig.Target) error {
+	shown := r.registry.ended(t, a.targetStartedAt)
+	if shown == "" || shown == evidenceLapsed {
+		shown = r.crashes.checkProcess(ctx, a, t, shown == evidenceLapsed)
+	}
+	if shown == "" {
+		return io.EOF
+	}
+	a.ended = shown
+	return errors.Errorf("the response ended with its connection, and so did the target's process: %s", shown)
+}
+
+// checkProcess returns the evidence that the process of a target has ended which closed its connection, or "". lapsed is
+// true if its entry was removed: that alone shows nothing, since targets that leave may remove it first and serve on.
+func (d *crashDetector) checkProcess(ctx context.Context, a *activeRequest, t jvconfig.Target, lapsed bool) evidence {
+	if ctx.Err() != nil || d.options.Reach.Unreachable(t.Name) {
+		return ""
+	}
+	e := d.probe(ctx, a, t)
+	// A machine that does not respond has sent the end a moment ago: its process may run on behind a cut, or a packet
+	// of the probe is lost. So that alone does not turn a response into a broken one.
+	if e == "" || e == evidenceUnreachable && !lapsed {
+		return ""
+	}
+	if !d.options.Reach.Down(jvreach.Target{Name: t.Name, Address: t.Address}) {
+		return ""
+	}
+	return e
+}
+
+// ended returns what the entries show of the end of a target's process, or "". The process started at a time by the
+// target's entry, or 0 if that isn't known.
+func (g *Registry) ended(t jvconfig.Target, startedAtMillis int64) evidence {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	own, ok := g.entries[t.Name]
+	switch {
+	case g.displaced[t.Name]:
+		return evidenceReplaced
+	case ok && startedAtMillis != 0 && own.StartedAtMillis != 0 && own.StartedAtMillis != startedAtMillis:
+		return evidenceRestarted
+	}
+	for id, other := range g.entries { // An entry of an earlier process at the address may not have lapsed yet.
+		if id != t.Name && other.Target.Address == t.Address && startedAtMillis != 0 && other.StartedAtMillis > startedAtMillis {
+			return evidenceReplaced
+		}
+	}
+	if !ok {
+		return evidenceLapsed
+	}
+	return ""
+}
--- a/internal/jvrelay/crashes.go
+++ b/internal/jvrelay/crashes.go
@@ -76,13 +76,17 @@
 }
 
 // attemptBroke reports a crash and returns true if the target accepts no connections now, and else keeps the
-// attempt until there is evidence. A target that was silent is not probed: it may be cut off or busy.
+// attempt until there is evidence. If the entry of the target's next process has shown the crash, it returns false. A target that was silent is not probed: it may be cut off or busy.
 func (d *crashDetector) attemptBroke(ctx context.Context, a *activeRequest, t jvconfig.Target, silent bool) (ended bool) {
 	b := brokenAttempt{features: a.features, request: a.request.ID, pool: a.pool, address: t.Address, crash: jvquarantine.Crash{
 		Target: t.Name, StartedAtMillis: a.targetStartedAt, SentAt: a.attemptStartedAt, EndedAt: d.options.Timer.Now(), Progress: a.progress,
 	}}
+	if a.ended != "" { // The end of the response has been checked.
+		d.report(b, a.ended)
+		return a.ended != evidenceRestarted && a.ended != evidenceReplaced
+	}
 	if !silent && ctx.Err() == nil {
-		e := d.probe(ctx, t)
+		e := d.probe(ctx, a, t)
 		if e != "" && d.options.Reach.Down(jvreach.Target{Name: t.Name, Address: t.Address}) {
 			d.report(b, e)
 			return true
@@ -101,17 +105,23 @@
 	return false
 }
 
-// probe returns the evidence that a target's machine gives by not accepting a connection, or "".
-func (d *crashDetector) probe(ctx context.Context, t jvconfig.Target) evidence {
-	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	switch d.options.Sender.Probe(probeCtx, t) {
+// probe returns the evidence that a target's machine gives by not accepting a connection, or "". It connects once for
+// each attempt.
+func (d *crashDetector) probe(ctx context.Context, a *activeRequest, t jvconfig.Target) evidence {
+	if a.probed == "" {
+		probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+		defer cancel()
+		result := d.options.Sender.Probe(probeCtx, t)
+		if result == ProbeNoResponse && ctx.Err() != nil { // The attempt's own deadline ended the probe.
+			return ""
+		}
+		a.probed = result
+	}
+	switch a.probed {
 	case ProbeRefused:
 		return evidenceRefused
 	case ProbeNoResponse:
-		if ctx.Err() == nil { // Otherwise the attempt's own deadline ended the probe.
-			return evidenceUnreachable
-		}
+		return evidenceUnreachable
 	}
 	return ""
 }
