jvforward: an end proves no more than the framing between the routers

The router of the caller believed another router's word that a response is framed, also where the connection between the two had neither a length nor chunks: its end, which may be that of the other router, or of what is on the way, counted as proven. Not seen at a caller: routers send each other chunks. Cause: Client took the end from the head of the message only. Now the end is the lesser one of both. Evidence: TestPeerResponseEnds, 2 of 8 cases failed before (without a length, HTTP/1.1 and 1.0), none now. Beside it, by bytes, without a fault: TestPeerResponseCuts cuts the response between two routers after each byte (length, chunks, chunks with close; new and kept connections; closed and reset), and the caller's router sees a broken one each time; TestAttemptCuts cuts the attempt after each byte, and only the whole one runs; TestEarlierBuildsResponse keeps what a missing field of an earlier build means.

--- a/internal/jvforward/client.go
+++ b/internal/jvforward/client.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 
 	"github.com/jasminevale/jasminevale/internal/jvcodec"
+	"github.com/jasminevale/jasminevale/internal/jvend"
 	"github.com/jasminevale/jasminevale/internal/jvfault"
 	"github.com/jasminevale/jasminevale/internal/jvmember"
 	"github.com/jasminevale/jasminevale/internal/jvrelay"
@@ -79,6 +80,9 @@
 		_ = response.Body.Close()
 		return nil, err
 	}
+	if shown := jvend.Of(response); !shown.Shows(result.End) {
+		result.End = shown // The connection between the routers may end for its own reasons.
+	}
 	return result, nil
 }
 
