jvrelay: refuse late requests that may not be repeated, unless they end with certainty

Callers saw: in a planned stop in calm, requests that arrived after the load balancer's notice were passed on and ended at the end of the drain with a 502, or a broken stream, also those that may not be repeated.

Cause: after the notice a request is taken if all known responses of its route would have ended in time. A target that is slower than ever before, or a rare long response, is not among them.

Now what may not be repeated (unsafe, streams that can't resume) is taken after the notice only if its deadline or its route's timeout passes before requests without a response are ended (100 ms before the drain's end; a deadline in these 100 ms no longer counts as in time). The refusal is true and costs a caller one new connection, since it has another router; a 502 leaves it without knowing whether the request ran. What may be repeated or resumed is still taken by the estimate, and what arrives in the notice as before. The rule and its reason are in endsInTime.

--- a/internal/jvrelay/late_test.go
+++ b/internal/jvrelay/late_test.go
@@ -1,6 +1,7 @@
 package jvrelay
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -65,6 +66,83 @@
 	}
 }
 
+// lateRefused is what a caller gets whose request can't be expected to end before the drain does.
+const lateRefused = "refused 503 stopping, retry after 50ms"
+
+// lateKinds are the routes of requests that may not be repeated, and of those that may be repeated or resumed.
+var lateKinds = []struct {
+	route      string
+	repeatable bool
+}{{"once", false}, {"fixed", false}, {"safe", true}, {"stream", true}}
+
+// newLateFixture returns a fixture that serves one request, whose routes have a timeout, and on which earlier responses
+// took known times, the latest last.
+func newLateFixture(t *testing.T, timeout time.Duration, earlier ...time.Duration) *fixture {
+	s := newFixture(t, script{status: 200, body: "id: 1\ndata: x\n\n"})
+	table := newTable(2, false)
+	var routes []jvroute.Route
+	for _, k := range lateKinds {
+		route, ok := table.Match("h", "/"+k.route+"/x")
+		require.True(t, ok)
+		route.Timeout = timeout
+		routes = append(routes, route)
+		for _, d := range earlier {
+			s.relay.durations.add(k.route, duration{rest: d})
+		}
+	}
+	s.relay.Configure(table.WithRoutes(routes))
+	return s
+}
+
+// serveLate sends a request at a time after the stop begins, and reports whether it is served.
+func (s *fixture) serveLate(t *testing.T, plan StopPlan, route string, at, wait time.Duration) bool {
+	s.relay.Stop(plan)
+	time.Sleep(at)
+	got := s.serve(t.Context(), t, route, func(q *Request) {
+		q.Usage = Usage{}
+		q.Deadline = q.ArrivedAt.Add(wait)
+	})
+	if got != lateRefused {
+		require.Contains(t, got, "data: x")
+	}
+	return got != lateRefused
+}
+
+// TestLateUnrepeatableIsRefused guards against a stopping router that takes a request which may not be repeated, after
+// the load balancer's notice, since earlier ones ended in time: a target that is slower than ever before leaves its caller
+// without knowing whether it ran. What its deadline or its route's timeout ends in time is served.
+func TestLateUnrepeatableIsRefused(t *testing.T) {
+	const short, long = time.Second, time.Minute
+	plan := PlanStop(8 * time.Second)
+	after := plan.Notice + time.Second
+	for _, c := range []struct {
+		name              string
+		at, wait, timeout time.Duration
+		// served and repeatable are whether it is served if it may not be repeated, and if it may be.
+		served, repeatable bool
+	}{
+		{"in the notice", plan.Notice / 2, long, 0, true, true},
+		{"after the notice", after, long, 0, false, true},
+		{"its deadline passes first", after, short, 0, true, true},
+		{"its route's timeout passes first", after, long, short, true, true},
+		{"its deadline passes once requests without a response are ended", after, plan.DrainEnd() - after, 0, false, true},
+	} {
+		for _, k := range lateKinds {
+			t.Run(c.name+"/"+k.route, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					earlier := slices.Repeat([]time.Duration{10 * time.Millisecond}, 100)
+					s := newLateFixture(t, c.timeout, earlier...)
+					want := c.served
+					if k.repeatable {
+						want = c.repeatable
+					}
+					require.Equal(t, want, s.serveLate(t, plan, k.route, c.at, c.wait))
+				})
+			})
+		}
+	}
+}
+
 // TestDurations checks that whole responses are remembered by route, the latest of them, and only these.
 func TestDurations(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/jvrelay/stop.go
+++ b/internal/jvrelay/stop.go
@@ -50,37 +50,43 @@
 	minKnown = 8
 	minShare = 0.9
 	// lateFactor is how many times the longest known response must fit into what is left of the drain once the notice
-	// is over, lateMargin what must be left besides: hardly anyone sends new requests then, and a caller that is
-	// refused has another router.
+	// is over, lateMargin what must be left besides: a target may be slower than before.
 	lateFactor = 1.25
 	lateMargin = 200 * time.Millisecond
 )
 
 // refuseLate returns the problem of a request that arrives while the router stops and can't be expected to end
-// before the drain does. It is nil for a request that ends by then, be it by its deadline.
+// before the drain does, else nil.
 func (r *Relay) refuseLate(ctx context.Context, a *activeRequest) *Problem {
-	const reason = "this router stops before the request would end"
-	if stopped(ctx) {
-		return stopping(reason)
-	}
 	s := r.stop.Load()
-	if s == nil || !a.deadline.After(s.drainEnd) {
+	if !stopped(ctx) && (s == nil || r.endsInTime(s, a)) {
 		return nil
 	}
+	return stopping("this router stops before the request would end")
+}
+
+// endsInTime reports whether a request that arrives while the router stops can be expected to end before the drain does.
+//
+// The answer at the end of the drain to a request that runs is of no use to a caller who may not repeat it, a refusal
+// costs one that has another router little. In the notice the load balancer may still send callers here, and again
+// after a refusal, so only what mostly ends too late is refused. After it, these are taken:
+//   - what its deadline or its route's timeout ends by then,
+//   - what can be repeated or resumed, if the responses that are known show that it ends.
+func (r *Relay) endsInTime(s *stopTimes, a *activeRequest) bool {
+	end := s.drainEnd.Add(-maxAnswerTime) // From here on requests without a response are ended.
+	if !a.deadline.After(end) {
+		return true
+	}
 	now := r.options.Timer.Now()
-	left, late := s.drainEnd.Sub(now), now.After(s.noticeEnd)
+	left, late := end.Sub(now), now.After(s.noticeEnd)
 	if late {
 		left = time.Duration(float64(left-lateMargin) / lateFactor)
 	}
 	share, known := r.durations.within(a.route.Name, a.request.Usage.OutputTokens, left)
-	ends := known < minKnown || share >= minShare
-	if late {
-		ends = known >= minKnown && share == 1
-	}
-	if ends {
-		return nil
+	if !late {
+		return known < minKnown || share >= minShare
 	}
-	return stopping(reason)
+	return a.route.Repeatable() && known >= minKnown && share == 1
 }
 
 // errStopped cancels requests without a response when the drain of a stop ends.
