jvrelay: late requests are judged by rare long responses and by requests in progress, too

Cause: the estimate knows the latest 64 responses of a route that have ended. A long one is forgotten after 64 others, and one that is still in progress is not known: when it is the longest ever, no late request is refused for it.

Now the longest of the latest 512 responses counts after the notice, and the age of the oldest request in progress on the route. They must fit twice (1.25 times before): a target may be slower than ever before. The share in the notice is still that of the latest 64.

Evidence: TestLateRareResponse, 2 of 4 cases failed before.

Changed test: TestDurations adds as many responses as are remembered now, and checks what the oldest one changes.

--- a/internal/jvrelay/durations.go
+++ b/internal/jvrelay/durations.go
@@ -8,8 +8,12 @@
 	"github.com/jasminevale/jasminevale/internal/jvend"
 )
 
-// maxDurations is the number of whole responses of a route that are remembered.
-const maxDurations = 64
+const (
+	// maxDurations is the number of a route's latest whole responses that show how long most of them take.
+	maxDurations = 64
+	// maxRemembered is the number of those that show how long a rare one takes.
+	maxRemembered = 512
+)
 
 // duration is how long a whole response took.
 type duration struct {
@@ -44,31 +48,43 @@
 func (s *durations) add(route string, d duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	list := s.byRoute[route]
-	if len(list) < maxDurations {
+	if list := s.byRoute[route]; len(list) < maxRemembered {
 		s.byRoute[route] = append(list, d)
-		return
+	} else {
+		list[s.next[route]] = d
 	}
-	list[s.next[route]] = d
-	s.next[route] = (s.next[route] + 1) % maxDurations
+	s.next[route] = (s.next[route] + 1) % maxRemembered
 }
 
-// within returns the share of a route's responses that would have ended within a time, for a request with at most a
-// number of tokens, and how many responses are known.
+// within returns the share of a route's latest responses that would have ended within a time, for a request with at most
+// a number of tokens, and how many of them are known.
 func (s *durations) within(route string, tokens int64, limit time.Duration) (share float64, known int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	list := s.byRoute[route]
-	if len(list) == 0 {
+	known = min(len(list), maxDurations)
+	if known == 0 {
 		return 0, 0
 	}
 	n := 0
-	for _, d := range list {
-		if d.of(tokens) <= limit {
+	for i := range known {
+		if list[(s.next[route]-1-i+2*len(list))%len(list)].of(tokens) <= limit {
 			n++
 		}
 	}
-	return float64(n) / float64(len(list)), len(list)
+	return float64(n) / float64(known), known
+}
+
+// longest returns the longest time that one of a route's remembered responses would have taken, for a request with at
+// most a number of tokens.
+func (s *durations) longest(route string, tokens int64) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var longest time.Duration
+	for _, d := range s.byRoute[route] {
+		longest = max(longest, d.of(tokens))
+	}
+	return longest
 }
 
 // recordDuration records how long a whole response took.
--- a/internal/jvrelay/late_test.go
+++ b/internal/jvrelay/late_test.go
@@ -143,6 +143,40 @@
 	}
 }
 
+// TestLateRareResponse guards against a stopping router that takes a request late whose route has a rare long response,
+// since none of the latest ones was, or none has ended so far.
+func TestLateRareResponse(t *testing.T) {
+	const short, age, minute = 10 * time.Millisecond, 2 * time.Second, time.Minute
+	plan := PlanStop(8 * time.Second)
+	shorts := slices.Repeat([]time.Duration{short}, 2*maxDurations)
+	for _, c := range []struct {
+		name    string
+		earlier []time.Duration
+		// open is true if a request of the route is in progress when the stop begins, for an age then.
+		open bool
+		// left is how much of the drain is left when the request arrives.
+		left   time.Duration
+		served bool
+	}{
+		{"no long one", shorts, false, time.Second, true},
+		{"a long one", append([]time.Duration{age}, shorts...), false, 3 * time.Second, false},
+		{"a long one, much time left", append([]time.Duration{age}, shorts...), false, 2*age + time.Second, true},
+		{"one in progress", shorts, true, 4 * time.Second, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newLateFixture(t, 0, c.earlier...)
+				if c.open {
+					o := &openRequest{arrivedAt: time.Now(), route: "safe"}
+					defer s.relay.open.add(o, func(error) {})()
+					time.Sleep(age)
+				}
+				require.Equal(t, c.served, s.serveLate(t, plan, "safe", plan.DrainEnd()-c.left, minute))
+			})
+		})
+	}
+}
+
 // TestDurations checks that whole responses are remembered by route, the latest of them, and only these.
 func TestDurations(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -154,7 +188,7 @@
 		require.InDelta(t, 1, share, 0)
 		share, _ = s.relay.durations.within("fixed", 80, 99*time.Millisecond)
 		require.Zero(t, share)
-		for range 2 * maxDurations {
+		for range 2*maxRemembered + 1 {
 			s.relay.durations.add("fixed", duration{rest: time.Second, tokens: 40})
 		}
 		share, known = s.relay.durations.within("fixed", 80, 2*time.Second)
@@ -162,5 +196,15 @@
 		require.InDelta(t, 1, share, 0)
 		share, _ = s.relay.durations.within("fixed", 80, 2*time.Second-1)
 		require.Zero(t, share, "twice as much output takes twice as long")
+		require.Equal(t, 2*time.Second, s.relay.durations.longest("fixed", 80))
+		s.relay.durations.add("fixed", duration{rest: time.Minute})
+		for range maxRemembered - 1 {
+			s.relay.durations.add("fixed", duration{rest: time.Second, tokens: 40})
+		}
+		require.Equal(t, time.Minute, s.relay.durations.longest("fixed", 80))
+		share, _ = s.relay.durations.within("fixed", 80, 2*time.Second)
+		require.InDelta(t, 1, share, 0, "the latest ones")
+		s.relay.durations.add("fixed", duration{rest: time.Second, tokens: 40})
+		require.Equal(t, 2*time.Second, s.relay.durations.longest("fixed", 80), "the oldest one is forgotten")
 	})
 }
--- a/internal/jvrelay/open.go
+++ b/internal/jvrelay/open.go
@@ -127,6 +127,26 @@
 	}
 }
 
+// oldest returns the largest age of the other requests in progress on the route of one.
+func (r *openRequests) oldest(one *openRequest, now time.Time) time.Duration {
+	var route string
+	one.update(func(o *openRequest) { route = o.route })
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var oldest time.Duration
+	for o := range r.all {
+		if o == one {
+			continue
+		}
+		o.update(func(o *openRequest) {
+			if o.route == route {
+				oldest = max(oldest, now.Sub(o.arrivedAt))
+			}
+		})
+	}
+	return oldest
+}
+
 // countEnd counts the end of a request by its outcome and its problem, if it has one.
 func (r *openRequests) countEnd(outcome string, p *Problem) {
 	r.mu.Lock()
--- a/internal/jvrelay/stop.go
+++ b/internal/jvrelay/stop.go
@@ -49,9 +49,9 @@
 	// minShare the share of them that would have.
 	minKnown = 8
 	minShare = 0.9
-	// lateFactor is how many times the longest known response must fit into what is left of the drain once the notice
-	// is over, lateMargin what must be left besides: a target may be slower than before.
-	lateFactor = 1.25
+	// lateFactor is how many times the longest response that the router knows of must fit into what is left of the drain
+	// once the notice is over, lateMargin what must be left besides: a target may be slower than ever before.
+	lateFactor = 2
 	lateMargin = 200 * time.Millisecond
 )
 
@@ -71,22 +71,21 @@
 // costs one that has another router little. In the notice the load balancer may still send callers here, and again
 // after a refusal, so only what mostly ends too late is refused. After it, these are taken:
 //   - what its deadline or its route's timeout ends by then,
-//   - what can be repeated or resumed, if the responses that are known show that it ends.
+//   - what can be repeated or resumed, if the responses that have ended and those in progress show that it ends.
 func (r *Relay) endsInTime(s *stopTimes, a *activeRequest) bool {
 	end := s.drainEnd.Add(-maxAnswerTime) // From here on requests without a response are ended.
 	if !a.deadline.After(end) {
 		return true
 	}
 	now := r.options.Timer.Now()
-	left, late := end.Sub(now), now.After(s.noticeEnd)
-	if late {
-		left = time.Duration(float64(left-lateMargin) / lateFactor)
-	}
-	share, known := r.durations.within(a.route.Name, a.request.Usage.OutputTokens, left)
-	if !late {
+	left := end.Sub(now)
+	route, tokens := a.route.Name, a.request.Usage.OutputTokens
+	share, known := r.durations.within(route, tokens, left)
+	if !now.After(s.noticeEnd) {
 		return known < minKnown || share >= minShare
 	}
-	return a.route.Repeatable() && known >= minKnown && share == 1
+	longest := max(r.durations.longest(route, tokens), r.open.oldest(&a.open, now))
+	return a.route.Repeatable() && known >= minKnown && lateFactor*longest+lateMargin <= left
 }
 
 // errStopped cancels requests without a response when the drain of a stop ends.
