jvrelay: with much of a long drain left, late requests of which little is known are served

Now a request that arrives after the notice is also taken if 15 s or more are left, unless twice the longest of the known responses, or of the ages of requests in progress on its route, does not fit. That is cautious, not certain: a stream that lasts longer than ever is cut at the end.

--- a/internal/jvrelay/late_test.go
+++ b/internal/jvrelay/late_test.go
@@ -177,6 +177,34 @@
 	}
 }
 
+// TestLateInLongDrain guards against a stopping router that refuses requests of which little is known, or which may not be
+// repeated, however much of the drain is left, and against one that takes them if an earlier response shows that they
+// may not end.
+func TestLateInLongDrain(t *testing.T) {
+	plan := PlanStop(30 * time.Second)
+	for _, c := range []struct {
+		name    string
+		earlier []time.Duration
+		left    time.Duration
+		served  bool
+	}{
+		{"nothing is known", nil, muchTime + time.Second, true},
+		{"nothing is known, less time left", nil, muchTime, false},
+		{"short ones are known", []time.Duration{time.Second}, muchTime + time.Second, true},
+		{"a long one is known", []time.Duration{muchTime * 5 / 8}, muchTime + time.Second, false},
+		{"a long one is known, more time left", []time.Duration{muchTime * 5 / 8}, muchTime*5/4 + time.Second, true},
+	} {
+		for _, k := range lateKinds {
+			t.Run(c.name+"/"+k.route, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					s := newLateFixture(t, 0, c.earlier...)
+					require.Equal(t, c.served, s.serveLate(t, plan, k.route, plan.DrainEnd()-c.left, time.Minute))
+				})
+			})
+		}
+	}
+}
+
 // TestDurations checks that whole responses are remembered by route, the latest of them, and only these.
 func TestDurations(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/jvrelay/stop.go
+++ b/internal/jvrelay/stop.go
@@ -53,6 +53,8 @@
 	// once the notice is over, lateMargin what must be left besides: a target may be slower than ever before.
 	lateFactor = 2
 	lateMargin = 200 * time.Millisecond
+	// muchTime is left of a long drain if a response that does not end by then would be unusual on any route.
+	muchTime = 15 * time.Second
 )
 
 // refuseLate returns the problem of a request that arrives while the router stops and can't be expected to end
@@ -71,7 +73,8 @@
 // costs one that has another router little. In the notice the load balancer may still send callers here, and again
 // after a refusal, so only what mostly ends too late is refused. After it, these are taken:
 //   - what its deadline or its route's timeout ends by then,
-//   - what can be repeated or resumed, if the responses that have ended and those in progress show that it ends.
+//   - what can be repeated or resumed, if the responses that have ended and those in progress show that it ends,
+//   - whatever has much time left, unless they show that it may not end.
 func (r *Relay) endsInTime(s *stopTimes, a *activeRequest) bool {
 	end := s.drainEnd.Add(-maxAnswerTime) // From here on requests without a response are ended.
 	if !a.deadline.After(end) {
@@ -85,7 +88,10 @@
 		return known < minKnown || share >= minShare
 	}
 	longest := max(r.durations.longest(route, tokens), r.open.oldest(&a.open, now))
-	return a.route.Repeatable() && known >= minKnown && lateFactor*longest+lateMargin <= left
+	if lateFactor*longest+lateMargin > left {
+		return false
+	}
+	return left >= muchTime || a.route.Repeatable() && known >= minKnown
 }
 
 // errStopped cancels requests without a response when the drain of a stop ends.
