jvreach: a target that fails alone is found while others are unreachable

Cause, by a trace of the failing runs: the product. Two targets have to fail within a second for a check. Known unreachable targets get no requests, so the failures of the first six are older than a second when the first request to target-6 fails at 1001 ms, 96 ms after a check that found nothing: it waits for the pause of 600 ms, in which the other failure lapses, and target-6's next failure is alone as well. A router goes on sending requests to such a target. And a failure during a check whose connections hang (0.5 s) may lapse in the pause after it without any check having tried the target.

Fix: while targets are unreachable, one other that fails starts a check, and is tried first. Failures during a check, of targets that it did not try, count from its end.

The test's fixture: drive drew the targets of requests from the source that the monitors use as well, in an order that depends on the scheduling of goroutines; a lost target could be asked first after 1.5 s, or never. It has a source of its own now, with the same seed: all routers get the same requests at the same times in each run.

--- a/internal/jvreach/check.go
+++ b/internal/jvreach/check.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"time"
 )
 
 // check connects to a sample of targets, asks other routers about those that it can't reach, and draws the
@@ -39,14 +40,18 @@
 	m.conclude(sample, reached, others)
 }
 
-// checkSample returns the targets to which a check connects.
+// checkSample returns the targets to which a check connects: suspects that are not known to be unreachable come first.
 func (m *Monitor) checkSample(suspects []string) []Target {
 	targets := m.options.Targets()
 	names := map[string]bool{}
 	for _, name := range suspects {
 		names[name] = true
 	}
-	sample := m.sampleOf(among(targets, names), sampleSuspects)
+	m.mu.Lock()
+	unknown := m.unknownFailures()
+	m.mu.Unlock()
+	sample := m.sampleOf(among(among(targets, names), unknown), sampleSuspects)
+	sample = append(sample, m.sampleOf(without(among(targets, names), unknown), sampleSuspects-len(sample))...)
 	return append(sample, m.sampleRecent(without(targets, namesOf(sample)))...)
 }
 
@@ -142,6 +147,7 @@
 	for name := range reached {
 		delete(m.failures, name)
 	}
+	m.keepUntried(sample, now)
 	// Without an answer only this router's own link can be at fault, if it reaches the store and no target at all.
 	alone := others.answers == 0 && len(sample) >= minFailures && m.options.StoreReachable()
 	cut := len(sample) > 0 && len(reached) == 0 && (len(others.reached) > 0 || alone)
@@ -163,6 +169,17 @@
 	m.options.Changed(nil)
 }
 
+// keepUntried makes failures during a check, of targets that it did not try, count from its end, so that they are not
+// forgotten in the pause before the next one; m.mu must be held.
+func (m *Monitor) keepUntried(sample []Target, now time.Time) {
+	tried := namesOf(sample)
+	for name, at := range m.failures {
+		if !tried[name] && !at.Before(m.beganAt) {
+			m.failures[name] = now
+		}
+	}
+}
+
 // sampleOf returns n random ones of some targets, whose order it changes.
 func (m *Monitor) sampleOf(targets []Target, n int) []Target {
 	sample := make([]Target, 0, n)
--- a/internal/jvreach/fleet_test.go
+++ b/internal/jvreach/fleet_test.go
@@ -41,8 +41,11 @@
 // fleet is some routers and targets.
 type fleet struct {
 	network
-	timer   *jvtimer.Service
-	random  *jvchance.Source
+	timer  *jvtimer.Service
+	random *jvchance.Source
+	// choices selects the targets of requests. It has no other use, so that the order of goroutines does not change
+	// which targets get requests, and when.
+	choices *jvchance.Source
 	targets []Target
 	routers []*router
 	// idle gets no requests, unless it is nil.
@@ -52,7 +55,7 @@
 // inFleet runs a test with some routers and targets on a fake clock.
 func inFleet(t *testing.T, routers, targets int, test func(f *fleet)) {
 	synctest.Test(t, func(*testing.T) {
-		f := &fleet{timer: jvtimer.NewService(), random: jvchance.NewSource([32]byte{1})}
+		f := &fleet{timer: jvtimer.NewService(), random: jvchance.NewSource([32]byte{1}), choices: jvchance.NewSource([32]byte{1})}
 		f.network = network{lost: map[string]map[string]bool{}, down: map[string]bool{}, dead: map[string]bool{}}
 		for i := range targets {
 			f.targets = append(f.targets, Target{Name: fmt.Sprint("target-", i), Address: fmt.Sprint("10.0.1.1:", i)})
@@ -156,7 +159,7 @@
 	const interval = 20 * time.Millisecond
 	for end := f.timer.Now().Add(d); f.timer.Now().Before(end); time.Sleep(interval) {
 		for _, r := range f.routers {
-			if t := f.targets[int(f.random.Float()*float64(len(f.targets)))]; r != f.idle && !r.Unreachable(t.Name) {
+			if t := f.targets[int(f.choices.Float()*float64(len(f.targets)))]; r != f.idle && !r.Unreachable(t.Name) {
 				go f.request(r, t)
 			}
 		}
--- a/internal/jvreach/monitor.go
+++ b/internal/jvreach/monitor.go
@@ -25,8 +25,10 @@
 	answers   map[string]time.Time
 	// failures are the times of the latest failed connections, by target.
 	failures map[string]time.Time
-	// checking is true while a check runs, checkedAt is when the last one that found nothing ended.
+	// checking is true while a check runs, beganAt is when the last one began, checkedAt when the last one that
+	// found nothing ended.
 	checking  bool
+	beganAt   time.Time
 	checkedAt time.Time
 	// retrying is true while unreachable targets are tried, retriedAt is when the last try began, downAskedAt
 	// when the others were last asked whether they reach those, and askedAt when they were asked for their states.
@@ -152,12 +154,16 @@
 	m.checkFailures()
 }
 
-// checkFailures starts a check if connections to enough targets have failed lately.
+// checkFailures starts a check if connections to enough targets have failed lately. While some are known to be
+// unreachable, one other that fails is enough: the same cause is likely.
 func (m *Monitor) checkFailures() {
 	enough := min(minFailures, len(m.options.Targets()))
 	m.mu.Lock()
 	now := m.options.Timer.Now()
-	maps.DeleteFunc(m.failures, func(_ string, at time.Time) bool { return now.Sub(at) > failureAge })
+	maps.DeleteFunc(m.failures, func(_ string, at time.Time) bool { return !m.checking && now.Sub(at) > failureAge })
+	if len(m.unreachable) > 0 && len(m.unknownFailures()) > 0 {
+		enough = 1
+	}
 	start := len(m.failures) > 0 && len(m.failures) >= enough && m.startCheck(now)
 	suspects := slices.Collect(maps.Keys(m.failures))
 	m.mu.Unlock()
@@ -166,12 +172,25 @@
 	}
 }
 
+// unknownFailures returns the names of the targets that have failed lately and are not known to be unreachable; m.mu
+// must be held.
+func (m *Monitor) unknownFailures() map[string]bool {
+	names := map[string]bool{}
+	for name := range m.failures {
+		if !m.unreachable[name] {
+			names[name] = true
+		}
+	}
+	return names
+}
+
 // startCheck reports whether a check may begin now, and records that it does; m.mu must be held.
 func (m *Monitor) startCheck(now time.Time) bool {
 	if m.checking || m.cut || now.Sub(m.checkedAt) < checkPause {
 		return false
 	}
 	m.checking = true
+	m.beganAt = now
 	return true
 }
 
--- a/internal/jvreach/monitor_test.go
+++ b/internal/jvreach/monitor_test.go
@@ -79,6 +79,36 @@
 	})
 }
 
+// TestLoneFailure guards against a router that never finds that a target is unreachable from here, since its connection
+// fails alone: those to the targets that are known to be unreachable failed long before, or the last check has just ended.
+func TestLoneFailure(t *testing.T) {
+	const step = 50 * time.Millisecond
+	for _, hang := range []bool{false, true} {
+		for after := time.Duration(0); after <= failureAge+2*checkPause; after += step {
+			t.Run(fmt.Sprintf("%s later, hang=%t", after, hang), func(t *testing.T) {
+				inFleet(t, 6, 20, func(f *fleet) {
+					r, lost := f.routers[0], f.targets[:7]
+					f.change(func(n *network) { n.hang = hang })
+					f.cutOff(r, lost[:6])
+					for range 3 { // A check takes longer than a second if connections hang.
+						for _, g := range lost[:6] {
+							go f.request(r, g)
+						}
+						time.Sleep(knownWithin)
+					}
+					require.Equal(t, 6, r.Count())
+					time.Sleep(after)
+					f.cutOff(r, lost)
+					f.request(r, lost[6])
+					time.Sleep(2 * knownWithin)
+					require.True(t, r.Unreachable(lost[6].Name))
+					require.False(t, r.Cut())
+				})
+			})
+		}
+	}
+}
+
 // TestDownIsNoCut guards against taking targets that are down, or silent, for a cut of the own link.
 func TestDownIsNoCut(t *testing.T) {
 	for _, hang := range []bool{false, true} {
