jvreach tests: a failed test ends itself, not the package's run

inFleet ran the test in a synctest bubble with the outer test's T: a failure in it ended the whole process ("subtest may have called FailNow on a parent test"), and the package's other tests did not run. The test gets the bubble's T. Checked with a failure put into TestPartialCut: it failed, and TestSelectPeer ran.

--- a/internal/jvreach/fleet_test.go
+++ b/internal/jvreach/fleet_test.go
@@ -53,8 +53,8 @@
 }
 
 // inFleet runs a test with some routers and targets on a fake clock.
-func inFleet(t *testing.T, routers, targets int, test func(f *fleet)) {
-	synctest.Test(t, func(*testing.T) {
+func inFleet(t *testing.T, routers, targets int, test func(t *testing.T, f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
 		f := &fleet{timer: jvtimer.NewService(), random: jvchance.NewSource([32]byte{1}), choices: jvchance.NewSource([32]byte{1})}
 		f.network = network{lost: map[string]map[string]bool{}, down: map[string]bool{}, dead: map[string]bool{}}
 		for i := range targets {
@@ -71,7 +71,7 @@
 			f.timer.Close()
 			time.Sleep(longest)
 		}()
-		test(f)
+		test(t, f)
 	})
 }
 
--- a/internal/jvreach/monitor_test.go
+++ b/internal/jvreach/monitor_test.go
@@ -28,7 +28,7 @@
 		for _, hang := range []bool{false, true} {
 			for _, cut := range []int{1, routers - 2} {
 				t.Run(fmt.Sprintf("%d of %d, hang=%t", cut, routers, hang), func(t *testing.T) {
-					inFleet(t, routers, 20, func(f *fleet) {
+					inFleet(t, routers, 20, func(t *testing.T, f *fleet) {
 						f.drive(time.Second)
 						f.change(func(n *network) { n.hang = hang })
 						for _, r := range f.routers[:cut] {
@@ -64,7 +64,7 @@
 
 // TestPartialCut guards against taking a cut from some targets for one from all, or for the targets' fault.
 func TestPartialCut(t *testing.T) {
-	inFleet(t, 6, 20, func(f *fleet) {
+	inFleet(t, 6, 20, func(t *testing.T, f *fleet) {
 		r, lost := f.routers[0], f.targets[:7]
 		f.cutOff(r, lost)
 		f.drive(2 * time.Second)
@@ -86,7 +86,7 @@
 	for _, hang := range []bool{false, true} {
 		for after := time.Duration(0); after <= failureAge+2*checkPause; after += step {
 			t.Run(fmt.Sprintf("%s later, hang=%t", after, hang), func(t *testing.T) {
-				inFleet(t, 6, 20, func(f *fleet) {
+				inFleet(t, 6, 20, func(t *testing.T, f *fleet) {
 					r, lost := f.routers[0], f.targets[:7]
 					f.change(func(n *network) { n.hang = hang })
 					f.cutOff(r, lost[:6])
@@ -113,7 +113,7 @@
 func TestDownIsNoCut(t *testing.T) {
 	for _, hang := range []bool{false, true} {
 		for _, down := range []int{1, 5, 20} {
-			inFleet(t, 6, 20, func(f *fleet) {
+			inFleet(t, 6, 20, func(t *testing.T, f *fleet) {
 				f.change(func(n *network) { n.hang = hang })
 				f.change(func(n *network) {
 					for _, g := range f.targets[:down] {
@@ -133,7 +133,7 @@
 // TestLoneRouter checks that a router without others finds a cut by its own connections, is stranded, and that a
 // single target that refuses connections is down.
 func TestLoneRouter(t *testing.T) {
-	inFleet(t, 2, 3, func(f *fleet) {
+	inFleet(t, 2, 3, func(t *testing.T, f *fleet) {
 		f.change(func(n *network) { n.dead["router-1"] = true })
 		r := f.routers[0]
 		f.change(func(n *network) { n.down["target-0"] = true })
@@ -152,7 +152,7 @@
 
 // TestSelectPeer checks that requests go to routers with room, and not to those that failed or are full.
 func TestSelectPeer(t *testing.T) {
-	inFleet(t, 4, 3, func(f *fleet) {
+	inFleet(t, 4, 3, func(t *testing.T, f *fleet) {
 		r := f.routers[0]
 		now := f.timer.Now()
 		r.hear(answer{From: "router-1", Room: 2})
@@ -186,7 +186,7 @@
 		for _, hang := range []bool{false, true} {
 			for _, work := range []time.Duration{0, 600 * time.Millisecond} {
 				t.Run(fmt.Sprintf("%d routers, hang=%t, work=%s", routers, hang, work), func(t *testing.T) {
-					inFleet(t, routers, 25, func(f *fleet) {
+					inFleet(t, routers, 25, func(t *testing.T, f *fleet) {
 						f.change(func(n *network) {
 							n.hang, n.work = hang, work
 							for _, g := range f.targets[1:] {
@@ -209,7 +209,7 @@
 func TestCutAmongDeadTargets(t *testing.T) {
 	for _, hang := range []bool{false, true} {
 		t.Run(fmt.Sprintf("hang=%t", hang), func(t *testing.T) {
-			inFleet(t, 6, 25, func(f *fleet) {
+			inFleet(t, 6, 25, func(t *testing.T, f *fleet) {
 				f.change(func(n *network) {
 					n.hang = hang
 					for _, g := range f.targets[2:] {
@@ -236,7 +236,7 @@
 func TestIdleRouterFindsCut(t *testing.T) {
 	for _, hang := range []bool{false, true} {
 		t.Run(fmt.Sprintf("hang=%t", hang), func(t *testing.T) {
-			inFleet(t, 6, 25, func(f *fleet) {
+			inFleet(t, 6, 25, func(t *testing.T, f *fleet) {
 				r := f.routers[0]
 				f.idle = r
 				f.change(func(n *network) {
@@ -258,7 +258,7 @@
 // TestUnreachableEnds guards against holding a target that is down for everyone for unreachable, after it was
 // unreachable from here: requests would go through other routers, and its crash would not be known.
 func TestUnreachableEnds(t *testing.T) {
-	inFleet(t, 6, 20, func(f *fleet) {
+	inFleet(t, 6, 20, func(t *testing.T, f *fleet) {
 		r := f.routers[0]
 		f.cutOff(r, f.targets[:3])
 		f.drive(2 * time.Second)
@@ -273,7 +273,7 @@
 // TestFailuresDuringPause guards against a cut that is found late or never, since connections failed in the pause after
 // a check without result and none fail any more.
 func TestFailuresDuringPause(t *testing.T) {
-	inFleet(t, 2, 5, func(f *fleet) {
+	inFleet(t, 2, 5, func(t *testing.T, f *fleet) {
 		r := f.routers[0]
 		r.options.StoreReachable = func() bool { return false }
 		f.change(func(n *network) { n.dead["router-1"] = true })
@@ -317,7 +317,7 @@
 
 	for _, sound := range []bool{true, false} { // The router reaches one target of 25, or none.
 		t.Run(fmt.Sprintf("sound=%t", sound), func(t *testing.T) {
-			inFleet(t, 2, 25, func(f *fleet) {
+			inFleet(t, 2, 25, func(t *testing.T, f *fleet) {
 				r := f.routers[0]
 				f.change(func(n *network) { n.dead["router-1"] = true }) // It answers as follows instead.
 				r.options.Send = func(_ jvmember.Member, data []byte) {
@@ -401,8 +401,8 @@
 		}), 1, 10).Draw(rt, "events")
 		hang := rapid.Bool().Draw(rt, "hang")
 		targets := rapid.IntRange(5, 30).Draw(rt, "targets")
-		var fault string // A failure inside of inFleet would end the process.
-		inFleet(t, 6, targets, func(f *fleet) {
+		var fault string // A failure inside of inFleet is not one of rt.
+		inFleet(t, 6, targets, func(_ *testing.T, f *fleet) {
 			f.change(func(n *network) { n.hang = hang })
 			if fault = f.playHistory(events); fault == "" {
 				fault = f.endHistory()
