--- a/internal/jvengine/attempt.go
+++ b/internal/jvengine/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 
+	"github.com/jasminevale/jasminevale/internal/jvend"
 	"github.com/jasminevale/jasminevale/internal/jvtarget"
 )
 
@@ -61,6 +62,8 @@
 	Status      int
 	ContentType string
 	Body        []byte
+	// End is how the response ended; a broken one is an error.
+	End jvend.End
 	// Load is the target's load report, or nil if the response had none.
 	Load *jvtarget.Load
 }
--- a/internal/jvengine/client.go
+++ b/internal/jvengine/client.go
@@ -20,6 +20,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/jasminevale/jasminevale/internal/jvconfig"
+	"github.com/jasminevale/jasminevale/internal/jvend"
 	"github.com/jasminevale/jasminevale/internal/jvfault"
 	"github.com/jasminevale/jasminevale/internal/jvmemory"
 	"github.com/jasminevale/jasminevale/internal/jvtarget"
@@ -212,7 +213,10 @@
 	if err != nil {
 		return Response{}, transportError(ctx, op, err)
 	}
-	return Response{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: slices.Clone(buffer.Bytes()), Load: loadOf(response.Header)}, nil
+	return Response{
+		Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: slices.Clone(buffer.Bytes()),
+		End: jvend.Of(response), Load: loadOf(response.Header),
+	}, nil
 }
 
 // loadOf returns the load report in a response's header, or nil if it has none that can be decoded.
--- a/internal/jvfake/targets.go
+++ b/internal/jvfake/targets.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"github.com/jasminevale/jasminevale/internal/jvconfig"
+	"github.com/jasminevale/jasminevale/internal/jvend"
 	"github.com/jasminevale/jasminevale/internal/jvengine"
 	"github.com/jasminevale/jasminevale/internal/jvfault"
 	"github.com/jasminevale/jasminevale/internal/jvstandin"
@@ -313,7 +314,7 @@
 	if err != nil {
 		return jvengine.Response{}, t.brokenError(ctx, op, err)
 	}
-	return jvengine.Response{Status: http.StatusOK, ContentType: "application/json", Body: body}, nil
+	return jvengine.Response{Status: http.StatusOK, ContentType: "application/json", Body: body, End: jvend.Proven}, nil
 }
 
 // Load implements jvengine.Targets.
--- a/internal/jvfleet/lookup.go
+++ b/internal/jvfleet/lookup.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/jasminevale/jasminevale/internal/jvend"
 	"github.com/jasminevale/jasminevale/internal/jvengine"
 	"github.com/jasminevale/jasminevale/internal/jvfault"
 	"github.com/jasminevale/jasminevale/internal/jvflight"
@@ -88,11 +89,14 @@
 		case jvengine.KindCrossed:
 			rt.meter.Crossed.Inc()
 		case jvengine.KindBroken:
+			rt.meter.CountEnd(jvend.Broken.String())
 			crashed = rt.detectCrash(lease) // Before the release, which ends the attempt's record at the target.
 		}
 		lease.Release(resultOf(kind))
 		return response, crashed, err
 	}
+	rt.meter.CountEnd(response.End.String())
+	rt.recordDecision(q, jvtrace.StepAttempt, lease.Target.Name, fmt.Sprintf("status %d, %d bytes, end %s", response.Status, len(response.Body), response.End))
 	if response.Load != nil {
 		rt.targets.RecordLoad(q.Call.Pool.Name, lease.Target.Name, *response.Load)
 	}
--- a/internal/jvmeter/meter.go
+++ b/internal/jvmeter/meter.go
@@ -70,6 +70,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("jv_requests_total{outcome=%q,problem=%q}", outcome, problem)).Inc()
 }
 
+// CountEnd counts a response of a plain service by how it ended.
+func (m *Meter) CountEnd(end string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("jv_call_ends_total{end=%q}", end)).Inc()
+}
+
 // Gauge registers a gauge that is read when the metrics are written; name may include labels.
 func (m *Meter) Gauge(name string, read func() float64) {
 	m.set.GetOrCreateGauge(name, read)
