Own front: a response that ended with its connection is never more than that

Callers of a plain service got a response without a length that was cut as whole, with a Content-Length; after the head alone as 200 with a Content-Length of 0. For a call that must not be repeated that answer was recorded, so that each copy, at each router, got it as well. Cause: Client.Call reads until the connection ends, and no one knew later that nothing else had shown the end. Now the end goes with the answer: jvengine.Response, jvflight.End (flights, copies of other VMs), the record of the key and its run lock (field "ended"). A claimed end is passed on without a length and chunks, at once and from the record. It is broken if the target refuses connections or reports an instance other than that in the response, and if a success has no byte of body. A call that may be repeated then goes to another target; one that must not has the outcome unknown, and no answer is recorded. Absence of the field, as in what older releases write, counts as claimed; they ignore it.

--- a/internal/jvedge/callers.go
+++ b/internal/jvedge/callers.go
@@ -90,6 +90,7 @@
 		return nil, nil, x.serviceProblem(q.ID, endProblem(end))
 	}
 	x.statusOverride = end.Status
+	x.begin(end.Status, len(end.Body), end.BodyEnd())
 	content := end.ContentType
 	if content == "" {
 		content = "application/octet-stream"
--- a/internal/jvedge/exchange.go
+++ b/internal/jvedge/exchange.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strconv"
 	"strings"
+
+	"github.com/jasminevale/jasminevale/internal/jvend"
 )
 
 // exchange is the HTTP request and response of one call of a service method. Goa's generated code
@@ -14,6 +16,27 @@
 	request *http.Request
 	// statusOverride, if not 0, replaces the status of the design: a plain service's own status.
 	statusOverride int
+	// closes is true if the response ends with its connection.
+	closes bool
+}
+
+// begin sets the framing of a response: as much as the end shows, or a length. A length of -1 means that it isn't known.
+func (x *exchange) begin(status, length int, end jvend.End) {
+	switch h := x.Header(); {
+	case jvend.Bodiless(x.request.Method, status):
+	case end != jvend.Proven:
+		h.Set("Transfer-Encoding", "identity") // Makes net/http end the response with its connection.
+		x.closes = true
+	case length >= 0:
+		h.Set("Content-Length", strconv.Itoa(length))
+	}
+}
+
+// finish ends a response after its body.
+func (x *exchange) finish() {
+	if x.closes {
+		_ = http.NewResponseController(x).Flush() // Without it, net/http gives a short response a length.
+	}
 }
 
 type exchangeKey struct{}
@@ -39,6 +62,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		x := &exchange{ResponseWriter: w, request: r}
 		next.ServeHTTP(x, r.WithContext(context.WithValue(r.Context(), exchangeKey{}, x)))
+		x.finish()
 	})
 }
 
--- a/internal/jvengine/client.go
+++ b/internal/jvengine/client.go
@@ -213,9 +213,14 @@
 	if err != nil {
 		return Response{}, transportError(ctx, op, err)
 	}
+	end := jvend.Of(response)
+	if end == jvend.Claimed && response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices && len(buffer.Bytes()) == 0 {
+		// A target that has ended after the head looks the same.
+		return Response{}, jvfault.Newf(op, KindBroken, "the connection ended after the head of a response without a length")
+	}
 	return Response{
 		Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: slices.Clone(buffer.Bytes()),
-		End: jvend.Of(response), Load: loadOf(response.Header),
+		End: end, Load: loadOf(response.Header),
 	}, nil
 }
 
--- a/internal/jvfleet/crash.go
+++ b/internal/jvfleet/crash.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/jasminevale/jasminevale/internal/jvconfig"
 	"github.com/jasminevale/jasminevale/internal/jvengine"
 	"github.com/jasminevale/jasminevale/internal/jvfault"
 	"github.com/jasminevale/jasminevale/internal/jvledger"
@@ -142,9 +143,7 @@
 // have been released.
 func (rt *Router) detectCrash(l jvtarget.Lease) bool {
 	instance, brokeAt := rt.targets.Instance(l), rt.options.Timer.Now()
-	ctx, cancel := context.WithTimeout(rt.ctx, rt.options.Timing.PeerTimeout)
-	defer cancel()
-	load, err := rt.options.Targets.Load(ctx, l.Target)
+	load, err := rt.pollLoad(l.Target)
 	refused := jvfault.KindOf[jvengine.Kind](err) == jvengine.KindUnsent
 	replaced := err == nil && instance != "" && load.Instance != instance
 	if !refused && !replaced {
@@ -183,6 +182,13 @@
 	return true
 }
 
+// pollLoad requests the load report of a target, on which a request waits.
+func (rt *Router) pollLoad(t jvconfig.Target) (jvtarget.Load, error) {
+	ctx, cancel := context.WithTimeout(rt.ctx, rt.options.Timing.PeerTimeout)
+	defer cancel()
+	return rt.options.Targets.Load(ctx, t)
+}
+
 // unreportedInstance begins the name of an instance that reported no name; the attempt's ID follows, so
 // that the crashes of such a target are told apart.
 const unreportedInstance = "attempt:"
--- a/internal/jvfleet/lookup.go
+++ b/internal/jvfleet/lookup.go
@@ -82,6 +82,9 @@
 		Body:        q.Call.Body,
 	}
 	response, err = rt.options.Targets.Call(ctx, lease.Target, call)
+	if err == nil && rt.brokeOff(lease, response) {
+		err = jvfault.Newf("call", jvengine.KindBroken, "the response ended with its connection, and its target has ended")
+	}
 	if err != nil {
 		rt.recordDecision(q, jvtrace.StepAttempt, lease.Target.Name, err.Error())
 		kind := jvfault.KindOf[jvengine.Kind](err)
@@ -104,6 +107,23 @@
 	return response, false, nil
 }
 
+// brokeOff reports whether a response is known not to be whole: it ended with its connection, and its target refuses
+// connections or is another instance now. The check comes too late if the answer has been recorded. A failure needs
+// none: its body does not count as an answer.
+func (rt *Router) brokeOff(l jvtarget.Lease, r jvengine.Response) bool {
+	if r.End == jvend.Proven || r.Status >= http.StatusInternalServerError {
+		return false
+	}
+	if r.End == jvend.Broken {
+		return true
+	}
+	load, err := rt.pollLoad(l.Target)
+	if err != nil {
+		return jvfault.KindOf[jvengine.Kind](err) == jvengine.KindUnsent
+	}
+	return r.Load != nil && r.Load.Instance != "" && load.Instance != r.Load.Instance
+}
+
 func (rt *Router) endCall(fl *jvflight.Flight, q *Request, r jvengine.Response) {
 	rt.clearSuspicion(q)
 	rt.end(fl, q, jvflight.End{
@@ -111,5 +131,6 @@
 		Status:      r.Status,
 		ContentType: r.ContentType,
 		Body:        r.Body,
+		Ended:       r.End,
 	})
 }
--- a/internal/jvfleet/once.go
+++ b/internal/jvfleet/once.go
@@ -145,7 +145,7 @@
 		kind := jvfault.KindOf[jvengine.Kind](err)
 		switch {
 		case err == nil && response.Status < http.StatusInternalServerError:
-			rt.recordOutcome(q, holder, &jvrecord.Finish{Outcome: jvrecord.OutcomeDone, Status: response.Status, ContentType: response.ContentType, Body: response.Body})
+			rt.recordOutcome(q, holder, &jvrecord.Finish{Outcome: jvrecord.OutcomeDone, Status: response.Status, ContentType: response.ContentType, Body: response.Body, Ended: response.End})
 			rt.endCall(fl, q, response)
 			return nil
 		case kind == jvengine.KindUnsent && ctx.Err() == nil && attempt < maxUnsent:
@@ -225,7 +225,7 @@
 	case lock.Outcome == jvrecord.OutcomeDone && lock.BodyDropped:
 		return &Problem{Name: ProblemConflict, Message: "the request ran; its answer was too large to be kept", Outcome: jvrecord.OutcomeDone}
 	case lock.Outcome == jvrecord.OutcomeDone:
-		rt.end(fl, q, jvflight.End{Outcome: string(jvrecord.OutcomeDone), Status: lock.Status, ContentType: lock.ContentType, Body: lock.Body})
+		rt.end(fl, q, jvflight.End{Outcome: string(jvrecord.OutcomeDone), Status: lock.Status, ContentType: lock.ContentType, Body: lock.Body, Ended: lock.Ended})
 		return nil
 	case lock.Outcome == jvrecord.OutcomeNotRun:
 		return &Problem{Name: ProblemConflict, Message: "the request with this key was not run and never will be: retry with a new key", Outcome: jvrecord.OutcomeNotRun}
--- a/internal/jvflight/event.go
+++ b/internal/jvflight/event.go
@@ -1,5 +1,7 @@
 package jvflight
 
+import "github.com/jasminevale/jasminevale/internal/jvend"
+
 // Event is the text of one token of an answer.
 type Event struct {
 	// Index counts the answer's tokens from 0.
@@ -25,4 +27,14 @@
 	Status      int    `cbor:"status"`
 	ContentType string `cbor:"content"`
 	Body        []byte `cbor:"body"`
+	// Ended is how that response ended. Releases that don't know it leave it out, whatever the end was.
+	Ended jvend.End `cbor:"ended,omitempty"`
+}
+
+// BodyEnd returns how the response of a plain service ended, as far as this VM can know.
+func (e End) BodyEnd() jvend.End {
+	if e.Ended == jvend.Proven {
+		return jvend.Proven
+	}
+	return jvend.Claimed
 }
--- a/internal/jvledger/runlock.go
+++ b/internal/jvledger/runlock.go
@@ -57,6 +57,7 @@
 	held.Outcome = f.Outcome
 	held.Status = f.Status
 	held.ContentType = f.ContentType
+	held.Ended = f.Ended
 	if !f.TooLarge && len(f.Body) <= s.rules.MaxAnswerBytes && s.AnswerBytes+len(f.Body) <= s.rules.MaxTotalAnswerBytes {
 		held.Body = f.Body
 		s.AnswerBytes += len(f.Body)
--- a/internal/jvledger/state_test.go
+++ b/internal/jvledger/state_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/jasminevale/jasminevale/internal/jvcodec"
+	"github.com/jasminevale/jasminevale/internal/jvend"
 	"github.com/jasminevale/jasminevale/internal/jvrecord"
 )
 
@@ -170,3 +171,56 @@
 	require.NoError(t, err)
 	require.Equal(t, "1", older.Instance)
 }
+
+// olderFinish is the record of an outcome by releases that don't know how the response ended.
+type olderFinish struct {
+	Key     []byte `cbor:"key"`
+	Holder  string `cbor:"holder"`
+	Outcome string `cbor:"outcome"`
+	Status  int    `cbor:"status,omitempty"`
+	Body    []byte `cbor:"body,omitempty"`
+}
+
+// TestEndOfRecordedAnswer guards against a recorded answer that gets a better end than its target's response had: in the
+// state, in a snapshot, and from the record of an older release, which has none.
+func TestEndOfRecordedAnswer(t *testing.T) {
+	s := NewState(DefaultRules())
+	apply := func(number uint64, records ...any) {
+		type batch struct {
+			Origin  string `cbor:"origin"`
+			Number  uint64 `cbor:"number"`
+			Records []any  `cbor:"records"`
+		}
+		_, err := s.Apply(Entry{Offset: s.NextOffset(), Time: 1, Data: jvcodec.Encode(&batch{Origin: "o", Number: number, Records: records})})
+		require.NoError(t, err)
+	}
+	finish := func(name string, ended jvend.End) jvrecord.Record {
+		k := NewKey(name)
+		return jvrecord.Record{Finish: &jvrecord.Finish{Key: k[:], Holder: "o", Outcome: jvrecord.OutcomeDone, Status: 200, Body: []byte(name), Ended: ended}}
+	}
+	var locks []any
+	for _, name := range []string{"proven", "claimed", "older"} {
+		k := NewKey(name)
+		locks = append(locks, jvrecord.Record{RunLock: &jvrecord.RunLock{Key: k[:], Digest: k[:], RequestID: name}})
+	}
+	apply(1, jvrecord.Record{Hello: &jvrecord.Hello{VM: "a1", Zone: "a"}})
+	apply(2, locks...)
+	older := NewKey("older")
+	record := map[string]any{"finish": olderFinish{Key: older[:], Holder: "o", Outcome: "done", Status: 200, Body: []byte("older")}}
+	apply(3, finish("proven", jvend.Proven), finish("claimed", jvend.Claimed), record)
+	restored, err := Restore(DefaultRules(), s.Snapshot())
+	require.NoError(t, err)
+	for _, state := range []*State{s, restored} {
+		for name, ended := range map[string]jvend.End{"proven": jvend.Proven, "claimed": jvend.Claimed, "older": 0} {
+			lock, ok := state.RunLock(NewKey(name))
+			require.True(t, ok)
+			require.Equal(t, name, string(lock.Body))
+			require.Equal(t, ended, lock.Ended, name)
+		}
+	}
+	old, err := jvcodec.Decode[struct {
+		Finish olderFinish `cbor:"finish"`
+	}](jvcodec.Encode(finish("older", jvend.Proven)))
+	require.NoError(t, err)
+	require.Equal(t, record["finish"], old.Finish)
+}
--- a/internal/jvledger/tables.go
+++ b/internal/jvledger/tables.go
@@ -1,6 +1,9 @@
 package jvledger
 
-import "github.com/jasminevale/jasminevale/internal/jvrecord"
+import (
+	"github.com/jasminevale/jasminevale/internal/jvend"
+	"github.com/jasminevale/jasminevale/internal/jvrecord"
+)
 
 // RunLock is the entry of a request that may run only once.
 type RunLock struct {
@@ -13,6 +16,8 @@
 	Status      int              `cbor:"status"`
 	ContentType string           `cbor:"content"`
 	Body        []byte           `cbor:"body"`
+	// Ended is how that response ended, or 0 if the holder's release doesn't record it.
+	Ended jvend.End `cbor:"ended,omitempty"`
 	// BodyDropped is true where the answer was too large to be kept.
 	BodyDropped bool `cbor:"dropped"`
 }
--- a/internal/jvrecord/runlock.go
+++ b/internal/jvrecord/runlock.go
@@ -1,5 +1,7 @@
 package jvrecord
 
+import "github.com/jasminevale/jasminevale/internal/jvend"
+
 // RunLock claims the sole right to run a non-idempotent request.
 type RunLock struct {
 	Key []byte `cbor:"key"`
@@ -36,6 +38,8 @@
 	Status      int    `cbor:"status,omitempty"`
 	ContentType string `cbor:"content,omitempty"`
 	Body        []byte `cbor:"body,omitempty"`
+	// Ended is how that response ended. Releases that don't know it leave it out, whatever the end was.
+	Ended jvend.End `cbor:"ended,omitempty"`
 	// TooLarge is true where the answer was too large for the record.
 	TooLarge bool `cbor:"large,omitempty"`
 }
