jvreset, jvedge: reset connections whose close would end a broken response

Callers of HTTP/1.0, and those of responses that end with their connection, saw a response that broke off end cleanly: after a failure in the middle, a write that fails, the end of a stop, and the kill of the process; with TLS also by a close_notify. Cause: net/http closes the connection, which is the end of a response without a length and chunks. From the head of such a response until its end, the close of the connection is a reset (SO_LINGER 0); the kernel does it for a process that is killed. The rest of a response is flushed before its end counts: net/http ignores errors of its last write. Whole answers of models have a length now. NewServer gets the timer service; the two tests of stops pass it.

--- a/cmd/jvrouter/run.go
+++ b/cmd/jvrouter/run.go
@@ -192,11 +192,11 @@
 
 func openPort(port jvsetting.Port, l net.Listener, h http.Handler, limits jvedge.Limits, timer *jvtimer.Service) (*jvedge.Server, error) {
 	if port.TLS == nil {
-		return jvedge.NewServer(l, h, limits, nil), nil
+		return jvedge.NewServer(l, h, limits, nil, timer), nil
 	}
 	config, err := jvtls.ServerConfig(*port.TLS, timer)
 	if err != nil {
 		return nil, err
 	}
-	return jvedge.NewServer(l, h, limits, config), nil
+	return jvedge.NewServer(l, h, limits, config, timer), nil
 }
--- a/internal/jvedge/answer.go
+++ b/internal/jvedge/answer.go
@@ -10,6 +10,7 @@
 	"strings"
 
 	"github.com/jasminevale/jasminevale/internal/gen/models"
+	"github.com/jasminevale/jasminevale/internal/jvend"
 	"github.com/jasminevale/jasminevale/internal/jvfleet"
 	"github.com/jasminevale/jasminevale/internal/jvflight"
 )
@@ -81,8 +82,10 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	data = append(data, '\n')
+	a.exchange.begin(http.StatusOK, len(data), jvend.Proven)
 	result := &models.ChatResult{Outcome: &end.Outcome, Request: request, Content: "application/json"}
-	return result, io.NopCloser(bytes.NewReader(append(data, '\n'))), nil
+	return result, io.NopCloser(bytes.NewReader(data)), nil
 }
 
 // newCompletion returns a completion without choices.
@@ -122,6 +125,7 @@
 	h := a.exchange.Header()
 	h.Set("Cache-Control", "no-store")
 	h.Set("Trailer", "Jv-Outcome")
+	a.exchange.begin(http.StatusOK, -1, jvend.Proven)
 	result := &models.ChatResult{Request: request, Content: "text/event-stream"}
 	return result, &eventBody{writer: a, ctx: ctx, request: request}, nil
 }
--- a/internal/jvedge/end_test.go
+++ b/internal/jvedge/end_test.go
@@ -124,7 +124,7 @@
 func (f *endFleet) serve(handler http.Handler, config *tls.Config) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(f.t, err)
-	s := jvedge.NewServer(l, handler, jvedge.DefaultLimits(), config)
+	s := jvedge.NewServer(l, handler, jvedge.DefaultLimits(), config, f.sim.Timer)
 	f.servers = append(f.servers, s)
 	go func() { _ = s.Serve() }()
 	return l.Addr().String()
--- a/internal/jvedge/exchange.go
+++ b/internal/jvedge/exchange.go
@@ -20,22 +20,28 @@
 	closes bool
 }
 
-// begin sets the framing of a response: as much as the end shows, or a length. A length of -1 means that it isn't known.
+// begin sets the framing of a response that shows as much as its end can. A length of -1 means that it isn't known.
 func (x *exchange) begin(status, length int, end jvend.End) {
-	switch h := x.Header(); {
+	switch {
 	case jvend.Bodiless(x.request.Method, status):
+		return
 	case end != jvend.Proven:
-		h.Set("Transfer-Encoding", "identity") // Makes net/http end the response with its connection.
-		x.closes = true
+		x.Header().Set("Transfer-Encoding", "identity") // Makes net/http end the response with its connection.
 	case length >= 0:
-		h.Set("Content-Length", strconv.Itoa(length))
+		x.Header().Set("Content-Length", strconv.Itoa(length))
+		return
+	case x.request.ProtoAtLeast(1, 1):
+		return // Chunks.
 	}
+	x.closes = true
+	connOf(x.request.Context()).ResetUnlessEnded()
 }
 
-// finish ends a response after its body.
+// finish writes what is left of a response that ends with its connection, before the connection may close: net/http
+// would ignore an error, and give a short response a length.
 func (x *exchange) finish() {
-	if x.closes {
-		_ = http.NewResponseController(x).Flush() // Without it, net/http gives a short response a length.
+	if x.closes && http.NewResponseController(x).Flush() != nil {
+		panic(http.ErrAbortHandler)
 	}
 }
 
--- a/internal/jvedge/stop.go
+++ b/internal/jvedge/stop.go
@@ -23,6 +23,7 @@
 	for _, s := range servers {
 		closing.Go(func() {
 			_ = s.http.Shutdown(ctx) // If ctx ends, the connections that are left are closed.
+			s.cut()
 			_ = s.http.Close()
 		})
 	}
--- a/internal/jvedge/stop_test.go
+++ b/internal/jvedge/stop_test.go
@@ -9,6 +9,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/jasminevale/jasminevale/internal/jvtimer"
 )
 
 // TestShutdownEndsWithItsTime guards against a stop that waits for a response beyond the time that is left before
@@ -16,6 +18,8 @@
 func TestShutdownEndsWithItsTime(t *testing.T) {
 	begun, release := make(chan struct{}, 2), make(chan struct{})
 	defer close(release)
+	timer := jvtimer.NewService()
+	defer timer.Close()
 	var servers []*Server
 	for range 2 {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -23,7 +27,7 @@
 		s := NewServer(l, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 			begun <- struct{}{}
 			<-release
-		}), DefaultLimits(), nil)
+		}), DefaultLimits(), nil, timer)
 		go func() { _ = s.Serve() }()
 		servers = append(servers, s)
 		c, err := net.Dial("tcp", l.Addr().String())
@@ -43,9 +47,11 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	stopping := false
+	timer := jvtimer.NewService()
+	defer timer.Close()
 	s := NewServer(l, AnnounceClose(func() bool { return stopping }, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = fmt.Fprint(w, "answer")
-	})), DefaultLimits(), nil)
+	})), DefaultLimits(), nil, timer)
 	go func() { _ = s.Serve() }()
 	defer Shutdown(t.Context(), []*Server{s})
 	for _, stopping = range []bool{false, true} {
