jvedge: a stream that ends with an error event shows no end in its framing

Callers that look at the framing only took a stream that broke off for complete: the event with the error was followed by the last chunk, as after [DONE]. An answer that is not complete must not be framed as complete. The event is still sent, with name, outcome and time to retry; then the connection closes without the last chunk, or is reset for a caller of HTTP/1.0. Callers that act on events see what they saw before the break; those that read to the end get an error of the read, and retry with the same key. The trailer Jv-Outcome is sent with complete answers only, as the last event has it. Answers end by their last line with the digest only, so no cut of an engine's response was taken for whole before either (TestCutAnswers).

--- a/internal/jvedge/answer.go
+++ b/internal/jvedge/answer.go
@@ -149,8 +149,8 @@
 }
 
 // WriteTo implements io.WriterTo. It writes and flushes the events that are available, then waits
-// for more. On an error it returns at least 1, since the response's header may have been sent: at 0
-// goa would write an error response, above 0 it aborts the connection.
+// for more. On an error, also that of an answer that is not complete, it returns at least 1, since the response's header
+// may have been sent: at 0 goa would write an error response, above 0 it aborts the connection.
 func (b *eventBody) WriteTo(w io.Writer) (int64, error) {
 	control := http.NewResponseController(b.writer.exchange)
 	for next := b.writer.firstIndex; ; {
@@ -168,6 +168,10 @@
 		if err := b.flush(w, control); err != nil {
 			return b.written + 1, err
 		}
+		if end != nil && end.Problem != "" {
+			// Callers may look at the framing only, so it shows no end.
+			return b.written + 1, endProblem(end)
+		}
 		if end != nil {
 			b.writer.exchange.Header().Set("Jv-Outcome", end.Outcome)
 			return b.written, nil
