--- a/internal/jvedge/answer.go
+++ b/internal/jvedge/answer.go
@@ -10,6 +10,7 @@
 	"strings"
 
 	"github.com/jasminevale/jasminevale/internal/gen/models"
+	"github.com/jasminevale/jasminevale/internal/jvend"
 	"github.com/jasminevale/jasminevale/internal/jvfleet"
 	"github.com/jasminevale/jasminevale/internal/jvflight"
 )
@@ -81,8 +82,10 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	data = append(data, '\n')
+	a.exchange.begin(http.StatusOK, len(data), jvend.Proven)
 	result := &models.ChatResult{Outcome: &end.Outcome, Request: request, Content: "application/json"}
-	return result, io.NopCloser(bytes.NewReader(append(data, '\n'))), nil
+	return result, io.NopCloser(bytes.NewReader(data)), nil
 }
 
 // newCompletion returns a completion without choices.
@@ -122,6 +125,7 @@
 	h := a.exchange.Header()
 	h.Set("Cache-Control", "no-store")
 	h.Set("Trailer", "Jv-Outcome")
+	a.exchange.begin(http.StatusOK, -1, jvend.Proven)
 	result := &models.ChatResult{Request: request, Content: "text/event-stream"}
 	return result, &eventBody{writer: a, ctx: ctx, request: request}, nil
 }
@@ -145,8 +149,8 @@
 }
 
 // WriteTo implements io.WriterTo. It writes and flushes the events that are available, then waits
-// for more. On an error it returns at least 1, since the response's header may have been sent: at 0
-// goa would write an error response, above 0 it aborts the connection.
+// for more. On an error, also that of an answer that is not complete, it returns at least 1, since the response's header
+// may have been sent: at 0 goa would write an error response, above 0 it aborts the connection.
 func (b *eventBody) WriteTo(w io.Writer) (int64, error) {
 	control := http.NewResponseController(b.writer.exchange)
 	for next := b.writer.firstIndex; ; {
@@ -164,6 +168,10 @@
 		if err := b.flush(w, control); err != nil {
 			return b.written + 1, err
 		}
+		if end != nil && end.Problem != "" {
+			// Callers may look at the framing only, so it shows no end.
+			return b.written + 1, endProblem(end)
+		}
 		if end != nil {
 			b.writer.exchange.Header().Set("Jv-Outcome", end.Outcome)
 			return b.written, nil
--- a/internal/jvedge/exchange.go
+++ b/internal/jvedge/exchange.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strconv"
 	"strings"
+
+	"github.com/jasminevale/jasminevale/internal/jvend"
 )
 
 // exchange is the HTTP request and response of one call of a service method. Goa's generated code
@@ -14,6 +16,33 @@
 	request *http.Request
 	// statusOverride, if not 0, replaces the status of the design: a plain service's own status.
 	statusOverride int
+	// closes is true if the response ends with its connection.
+	closes bool
+}
+
+// begin sets the framing of a response that shows as much as its end can. A length of -1 means that it isn't known.
+func (x *exchange) begin(status, length int, end jvend.End) {
+	switch {
+	case jvend.Bodiless(x.request.Method, status):
+		return
+	case end != jvend.Proven:
+		x.Header().Set("Transfer-Encoding", "identity") // Makes net/http end the response with its connection.
+	case length >= 0:
+		x.Header().Set("Content-Length", strconv.Itoa(length))
+		return
+	case x.request.ProtoAtLeast(1, 1):
+		return // Chunks.
+	}
+	x.closes = true
+	connOf(x.request.Context()).ResetUnlessEnded()
+}
+
+// finish writes what is left of a response that ends with its connection, before the connection may close: net/http
+// would ignore an error, and give a short response a length.
+func (x *exchange) finish() {
+	if x.closes && http.NewResponseController(x).Flush() != nil {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 type exchangeKey struct{}
@@ -39,6 +68,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		x := &exchange{ResponseWriter: w, request: r}
 		next.ServeHTTP(x, r.WithContext(context.WithValue(r.Context(), exchangeKey{}, x)))
+		x.finish()
 	})
 }
 
--- a/internal/jvengine/client.go
+++ b/internal/jvengine/client.go
@@ -20,6 +20,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/jasminevale/jasminevale/internal/jvconfig"
+	"github.com/jasminevale/jasminevale/internal/jvend"
 	"github.com/jasminevale/jasminevale/internal/jvfault"
 	"github.com/jasminevale/jasminevale/internal/jvmemory"
 	"github.com/jasminevale/jasminevale/internal/jvtarget"
@@ -212,7 +213,15 @@
 	if err != nil {
 		return Response{}, transportError(ctx, op, err)
 	}
-	return Response{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: slices.Clone(buffer.Bytes()), Load: loadOf(response.Header)}, nil
+	end := jvend.Of(response)
+	if end == jvend.Claimed && response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices && len(buffer.Bytes()) == 0 {
+		// A target that has ended after the head looks the same.
+		return Response{}, jvfault.Newf(op, KindBroken, "the connection ended after the head of a response without a length")
+	}
+	return Response{
+		Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: slices.Clone(buffer.Bytes()),
+		End: end, Load: loadOf(response.Header),
+	}, nil
 }
 
 // loadOf returns the load report in a response's header, or nil if it has none that can be decoded.
--- a/internal/jvfleet/lookup.go
+++ b/internal/jvfleet/lookup.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/jasminevale/jasminevale/internal/jvend"
 	"github.com/jasminevale/jasminevale/internal/jvengine"
 	"github.com/jasminevale/jasminevale/internal/jvfault"
 	"github.com/jasminevale/jasminevale/internal/jvflight"
@@ -81,6 +82,9 @@
 		Body:        q.Call.Body,
 	}
 	response, err = rt.options.Targets.Call(ctx, lease.Target, call)
+	if err == nil && rt.brokeOff(lease, response) {
+		err = jvfault.Newf("call", jvengine.KindBroken, "the response ended with its connection, and its target has ended")
+	}
 	if err != nil {
 		rt.recordDecision(q, jvtrace.StepAttempt, lease.Target.Name, err.Error())
 		kind := jvfault.KindOf[jvengine.Kind](err)
@@ -88,11 +92,14 @@
 		case jvengine.KindCrossed:
 			rt.meter.Crossed.Inc()
 		case jvengine.KindBroken:
+			rt.meter.CountEnd(jvend.Broken.String())
 			crashed = rt.detectCrash(lease) // Before the release, which ends the attempt's record at the target.
 		}
 		lease.Release(resultOf(kind))
 		return response, crashed, err
 	}
+	rt.meter.CountEnd(response.End.String())
+	rt.recordDecision(q, jvtrace.StepAttempt, lease.Target.Name, fmt.Sprintf("status %d, %d bytes, end %s", response.Status, len(response.Body), response.End))
 	if response.Load != nil {
 		rt.targets.RecordLoad(q.Call.Pool.Name, lease.Target.Name, *response.Load)
 	}
@@ -100,6 +107,23 @@
 	return response, false, nil
 }
 
+// brokeOff reports whether a response is known not to be whole: it ended with its connection, and its target refuses
+// connections or is another instance now. The check comes too late if the answer has been recorded. A failure needs
+// none: its body does not count as an answer.
+func (rt *Router) brokeOff(l jvtarget.Lease, r jvengine.Response) bool {
+	if r.End == jvend.Proven || r.Status >= http.StatusInternalServerError {
+		return false
+	}
+	if r.End == jvend.Broken {
+		return true
+	}
+	load, err := rt.pollLoad(l.Target)
+	if err != nil {
+		return jvfault.KindOf[jvengine.Kind](err) == jvengine.KindUnsent
+	}
+	return r.Load != nil && r.Load.Instance != "" && load.Instance != r.Load.Instance
+}
+
 func (rt *Router) endCall(fl *jvflight.Flight, q *Request, r jvengine.Response) {
 	rt.clearSuspicion(q)
 	rt.end(fl, q, jvflight.End{
@@ -107,5 +131,6 @@
 		Status:      r.Status,
 		ContentType: r.ContentType,
 		Body:        r.Body,
+		Ended:       r.End,
 	})
 }
