jvrelay: a test waits for the crash detector's timer before it reads its state

TestLeavingIsNoCrash failed once in a run of the package under the race detector, at a load of about 20: a data race of the test, which reads the detector's maps at the deadline of its request while the detector's timer fires at the same moment.

--- a/internal/jvrelay/sign_test.go
+++ b/internal/jvrelay/sign_test.go
@@ -82,6 +82,7 @@
 			s := newFixture(t, script{status: 200, body: "ans", hang: true, leaving: leaving})
 			s.serve(t.Context(), t, "once", nil)
 			id := s.sender.target
+			synctest.Wait() // The detector's timer fires at the deadline as well.
 			require.Len(t, s.relay.crashes.unresolved[id], 1)
 			s.relay.Registry().Update(map[string]*Entry{id: nil}, false)
 			require.Equal(t, leaving, s.relay.crashes.lapsed[id] == nil)
