Give callers of HEAD the length that the target declares

Callers of HEAD saw Content-Length 0, whatever the server's length, and without one as well; on a route of streams too. Cause: the router declared the length of the body that it had received, which HEAD does not have. Now the length is the target's, or none; HEAD is never read as a stream. Evidence: TestHeadKeepsLength failed in all 6 cases and passes.

--- a/internal/jvrelay/response.go
+++ b/internal/jvrelay/response.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -23,7 +24,7 @@
 	case response.Status >= http.StatusInternalServerError && r.spendRetry(a):
 		a.retryPaid = true
 		return jvfault.Newf("attempt", KindFailed, "the target answered %d", response.Status)
-	case a.route.Kind == jvroute.KindStream && response.isStream():
+	case a.route.Kind == jvroute.KindStream && response.isStream() && a.request.Method != http.MethodHead:
 		return r.classify(ctx, r.forwardStream(a, response, stall))
 	}
 	return r.classify(ctx, r.forwardResponse(ctx, a, response, stall))
@@ -69,17 +70,29 @@
 	if err != nil {
 		return r.forwardLongResponse(a, response, buffer.Bytes())
 	}
-	length := int64(len(buffer.Bytes()))
-	if response.End != jvend.Proven {
-		length = -1
-	}
-	a.begin(response, length)
+	a.begin(response, response.length(a.request.Method, len(buffer.Bytes())))
 	if err := a.caller.Write(buffer.Bytes()); err != nil {
 		return jvfault.New("forward response", KindCallerDisconnected, err)
 	}
 	return a.finish(response.End)
 }
 
+// length returns the length of a response for its caller, or -1 if it has none: that of the body as received, and for
+// HEAD that of the body which the target would send.
+func (r *Response) length(method string, received int) int64 {
+	switch {
+	case r.End != jvend.Proven:
+		return -1
+	case method != http.MethodHead:
+		return int64(received)
+	}
+	n, err := strconv.ParseInt(r.Header.Get("Content-Length"), 10, 64)
+	if err != nil || n < 0 {
+		return -1
+	}
+	return n
+}
+
 // endsAtHead reports whether a success ended with its connection before a byte of its body: a target that ends after
 // its head looks the same.
 func (r *Response) endsAtHead(body []byte) bool {
--- a/internal/jvrelay/response_test.go
+++ b/internal/jvrelay/response_test.go
@@ -276,3 +276,28 @@
 	context.AfterFunc(ctx, func() { _ = writer.CloseWithError(ctx.Err()) })
 	return &Response{Status: http.StatusOK, Header: http.Header{}, Body: reader, Signed: true, End: jvend.Proven}, nil
 }
+
+// TestHeadKeepsLength guards against a response to HEAD with the length of its empty body, and against a stream that
+// goes on elsewhere since it has no events.
+func TestHeadKeepsLength(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		route    string
+		declared string
+		want     string
+	}{
+		{"length", "safe", "31", "200 length 31: "},
+		{"length of a stream", "stream", "31", "200 length 31: "},
+		{"none", "safe", "", "200 length -1: "},
+		{"none of a stream", "stream", "", "200 length -1: "},
+		{"no number", "safe", "x", "200 length -1: "},
+		{"negative", "safe", "-2", "200 length -1: "},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := &answerSender{answers: []func(Dispatch) answer{fixed(answer{status: http.StatusOK, header: http.Header{"Content-Length": {c.declared}}})}}
+			f := newFixtureWith(t, func(o *Options) { o.Sender = s })
+			require.Equal(t, c.want, f.serve(t.Context(), t, c.route, func(q *Request) { q.Method = http.MethodHead }))
+			require.Len(t, s.sent, 1)
+		})
+	}
+}
