jvedge: test of answers that a router's end or a deadline breaks off

TestStopInAnAnswer: an engine sends a part and then nothing; the router closes, or the deadline passes. Each of four kinds of callers gets the part, the event with the error, and no end.

--- a/internal/jvedge/call_end_test.go
+++ b/internal/jvedge/call_end_test.go
@@ -120,7 +120,7 @@
 			}
 		}
 	}
-	f := newEndFleet(t, pools, nil)
+	f := newEndFleet(t, pools, stepTimeout/2)
 	type kind struct {
 		first, joined, copied, recorded, lookup view
 	}
@@ -179,7 +179,7 @@
 		}
 		pools = append(pools, p)
 	}
-	f := newEndFleet(t, pools, nil)
+	f := newEndFleet(t, pools, stepTimeout/2)
 	for n := range lookups {
 		v := f.call(0, transports()[0], http.MethodGet, fmt.Sprint("p", n), "")
 		require.Equal(t, endProven, v.end, v.body)
--- a/internal/jvedge/end_test.go
+++ b/internal/jvedge/end_test.go
@@ -55,8 +55,8 @@
 	roots         *x509.CertPool
 }
 
-// newEndFleet starts a fleet with pools, of which each engine pool has a profile of its name.
-func newEndFleet(t *testing.T, pools []jvconfig.Pool, change func(o *jvfleet.Options)) *endFleet {
+// newEndFleet starts a fleet with pools, of which each engine pool has a profile of its name with a deadline.
+func newEndFleet(t *testing.T, pools []jvconfig.Pool, deadline time.Duration) *endFleet {
 	t.Helper()
 	f := &endFleet{t: t, sim: jvfake.NewSimulation(t.Name())}
 	certificate, roots := newCertificate(t)
@@ -66,9 +66,6 @@
 		o.Targets = jvengine.NewClient(&http.Transport{}, f.sim.Timer, stepTimeout)
 		o.Workers = 1024
 		o.Timing.PeerTimeout = stepTimeout // The verdict must not depend on the speed of the machine.
-		if change != nil {
-			change(&o)
-		}
 		rt := f.sim.Start(o)
 		f.routers = append(f.routers, rt)
 		handler := jvedge.CallersHandler(jvedge.NewCallers(rt, jvedge.DefaultLimits()), logr.Discard())
@@ -97,7 +94,7 @@
 		}
 		bundle.Profiles = append(bundle.Profiles, jvconfig.Profile{
 			Name: p.Name, Workspace: "w", Pool: p.Name, Work: jvconfig.WorkQuick, Model: "m",
-			MaxOutput: 40, TimeoutMillis: 10_000, Priority: 5, MaxAttempts: 1, AheadPercent: 20,
+			MaxOutput: 40, TimeoutMillis: deadline.Milliseconds(), Priority: 5, MaxAttempts: 1, AheadPercent: 20,
 		})
 	}
 	bundle.Workspaces = []jvconfig.Workspace{workspace}
--- a/internal/jvedge/stream_end_test.go
+++ b/internal/jvedge/stream_end_test.go
@@ -5,10 +5,13 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -18,8 +21,12 @@
 
 // chat sends a model request and reads the response.
 func (f *endFleet) chat(router int, p transport, profile, key string, stream bool) view {
+	return f.send(router, p, chatRequest(p, profile, key, stream))
+}
+
+func chatRequest(p transport, profile, key string, stream bool) string {
 	body := fmt.Sprintf(`{"model":%q,"stream":%t,"messages":[{"role":"user","content":%q}]}`, profile, stream, key)
-	return f.send(router, p, fmt.Sprintf("POST /v1/chat/completions %s\r\nHost: h\r\nAuthorization: Bearer %s\r\nIdempotency-Key: %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", p.protocol, callerKey, key, len(body), body))
+	return fmt.Sprintf("POST /v1/chat/completions %s\r\nHost: h\r\nAuthorization: Bearer %s\r\nIdempotency-Key: %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", p.protocol, callerKey, key, len(body), body)
 }
 
 const (
@@ -193,7 +200,7 @@
 			}
 		}
 	}
-	f := newEndFleet(t, pools, nil)
+	f := newEndFleet(t, pools, stepTimeout/2)
 	type seen struct{ first, joined, relayed view }
 	views := make([]seen, 2*len(cases)*len(ways))
 	index := func(k, n int, stream bool) int {
@@ -237,3 +244,65 @@
 		}
 	}
 }
+
+// watchedConn is a connection that reports once that a text has been read, or that there is no more.
+type watchedConn struct {
+	net.Conn
+	text string
+	seen func()
+	read string
+}
+
+func (c *watchedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.read += string(p[:n])
+	if c.seen != nil && (err != nil || strings.Contains(c.read, c.text)) {
+		c.seen()
+		c.seen = nil
+	}
+	return n, err
+}
+
+// TestStopInAnAnswer guards against an answer that the end of a router breaks off and that is framed as complete, and one
+// whose deadline passes: the engine sends a part and then nothing.
+func TestStopInAnAnswer(t *testing.T) {
+	hanging := answerCase{framing: "chunks", tokens: tokensSent, end: endKeep}
+	for _, stops := range []bool{true, false} {
+		t.Run(fmt.Sprintf("stops %t", stops), func(t *testing.T) {
+			deadline := 3 * time.Second
+			if stops {
+				deadline = stepTimeout
+			}
+			var pools []jvconfig.Pool
+			for n := range transports() {
+				target := newRawTarget(t, "i", hanging.respond)
+				name := fmt.Sprint("e", n)
+				pools = append(pools, jvconfig.Pool{Name: name, Kind: jvconfig.PoolEngine, Targets: []jvconfig.Target{{Name: name, Zone: "a", Address: target.address, Slots: 8}}})
+			}
+			f := newEndFleet(t, pools, deadline)
+			var reading, running sync.WaitGroup
+			views := make([]view, len(pools))
+			for n, p := range transports() {
+				c, err := f.dial(0, p)
+				require.NoError(t, err)
+				t.Cleanup(func() { _ = c.Close() })
+				require.NoError(t, c.SetDeadline(time.Now().Add(stepTimeout)))
+				_, err = io.WriteString(c, chatRequest(p, pools[n].Name, pools[n].Name, true))
+				require.NoError(t, err)
+				reading.Add(1)
+				running.Go(func() { views[n] = readView(&watchedConn{Conn: c, text: token(tokensSent - 1), seen: reading.Done}) })
+			}
+			reading.Wait()
+			if stops {
+				f.routers[0].Close()
+			}
+			running.Wait()
+			for n, p := range transports() {
+				text, last := textOf(views[n])
+				require.Equal(t, endBroken, views[n].end, p.name)
+				require.Equal(t, answerText(tokensSent), text)
+				require.Equal(t, "error unknown", last)
+			}
+		})
+	}
+}
