--- a/Makefile
+++ b/Makefile
@@ -53,6 +53,7 @@
 	@cd internal && JV_SEED=$${JV_SEED:-7} JV_CHECKS=20000 $(GO) test ./jvgrant -run TestNeverMoreThanPrepaid
 	@cd platform && for t in FuzzDecodePage FuzzDecodeConfig FuzzDecodeTarget FuzzDecodeParts FuzzDecodeRetryAfter FuzzResponses FuzzResponseEnds; do \
 		$(GO) test . -run '^$$' -fuzz $$t -fuzztime 1m || exit 1; done
+	@cd platform && JV_SEED=$${JV_SEED:-7} JV_CHECKS=40000 $(GO) test . -run 'TestResponseEndHistories$$'
 	@cd platform && JV_HEADS=all $(GO) test . -run 'TestHeadCuts$$'
 	@cd internal && JV_SEED=$${JV_SEED:-7} JV_CHECKS=5000 $(GO) test ./jvversion -run 'TestVersionHistories$$'
 	@cd internal && JV_SEED=$${JV_SEED:-7} JV_CHECKS=10000 $(GO) test ./jvreach -run TestReachHistories
--- a/internal/jvproperty/main.go
+++ b/internal/jvproperty/main.go
@@ -25,6 +25,12 @@
 // Main runs a package's tests with the defaults of rapid's flags; it is called from TestMain.
 func Main(m *testing.M) {
 	flag.Parse()
+	setDefaults()
+	os.Exit(m.Run())
+}
+
+// setDefaults sets rapid's flags, except those on the command line.
+func setDefaults() {
 	given := map[string]bool{}
 	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
 	for _, d := range defaults {
@@ -36,23 +42,36 @@
 			setFlag(d.name, value)
 		}
 	}
-	os.Exit(m.Run())
 }
 
-// CheckSlow checks a property whose cases take long, with a tenth of the number of checks.
-func CheckSlow(t *testing.T, property func(t *rapid.T)) {
+// CheckSeeded checks a property in a package whose TestMain does not call Main, with the defaults of rapid's flags and a
+// part of the number of checks.
+func CheckSeeded(t *testing.T, share float64, property func(t *rapid.T)) {
+	t.Helper()
+	setDefaults()
+	checkShare(t, share, property)
+}
+
+// checkShare checks a property with a part of the number of checks.
+func checkShare(t *testing.T, share float64, property func(t *rapid.T)) {
 	t.Helper()
-	const share = 10
 	checks := flag.Lookup("rapid.checks").Value.String()
 	n, err := strconv.Atoi(checks)
 	if err != nil {
 		panic(err) // The flag is a number.
 	}
-	setFlag("rapid.checks", strconv.Itoa(max(n/share, 1)))
+	setFlag("rapid.checks", strconv.Itoa(max(int(share*float64(n)), 1)))
 	defer setFlag("rapid.checks", checks)
 	rapid.Check(t, property)
 }
 
+// CheckSlow checks a property whose cases take long, with a tenth of the number of checks.
+func CheckSlow(t *testing.T, property func(t *rapid.T)) {
+	t.Helper()
+	const share = 0.1
+	checkShare(t, share, property)
+}
+
 func setFlag(name, value string) {
 	if err := flag.Set(name, value); err != nil {
 		panic(err) // The flag is unknown, or an environment variable holds an invalid value.
