jvrelay: an attempt whose router leaves does not count as whole

Metrics, the log and the target's health counted an attempt for another router as whole if that router had left before the end of the response and the copy of the body ended by a write error. No caller sees it: the other router has left. Cause: the body's Close states an end by what Read has returned last, and without an end that was none. Evidence: TestPeerLeaves failed in 3 of 4 cases and passes.

--- a/internal/jvrelay/claim_test.go
+++ b/internal/jvrelay/claim_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -263,3 +265,35 @@
 		})
 	}
 }
+
+// TestPeerLeaves guards against an attempt for another router that counts as whole although the other router has left
+// before the end of the response.
+func TestPeerLeaves(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		read int
+		want string
+	}{
+		{"before the response", 0, "gone"},
+		{"in the response", 3, "gone"},
+		{"after its last byte, before its end", 6, "gone"},
+		{"after its end", 7, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, _ := newClaimFixture(t, nil, script{status: 200, body: "answer"})
+				r, err := f.relay.ServePeer(t.Context(), Dispatch{
+					Request: &Request{ID: "q", Method: "POST", Host: "h", URI: "/once/x", Header: http.Header{}}, Timeout: time.Second,
+					Selection: Selection{Pool: "p"},
+				}, "r1")
+				require.NoError(t, err)
+				_, err = io.ReadFull(r.Body, make([]byte, c.read))
+				require.Equal(t, c.want == "", errors.Is(err, io.ErrUnexpectedEOF))
+				require.NoError(t, r.Body.Close())
+				var metrics strings.Builder
+				f.relay.Meter().Write(&metrics)
+				require.Contains(t, metrics.String(), fmt.Sprintf("jv_relay_forwarded_total{direction=\"in\",failure=%q} 1", c.want))
+			})
+		})
+	}
+}
--- a/internal/jvrelay/peer.go
+++ b/internal/jvrelay/peer.go
@@ -112,7 +112,8 @@
 	// end is called once with what ended the attempt.
 	end   func(err error)
 	ended bool
-	err   error
+	// err is what ended the body: io.EOF if all of it was read, or nil while it goes on.
+	err error
 }
 
 // Read implements io.Reader.
@@ -122,7 +123,10 @@
 	if n > 0 {
 		b.request.open.addPart()
 	}
-	if err != nil && !errors.Is(err, io.EOF) {
+	switch {
+	case errors.Is(err, io.EOF):
+		b.err = io.EOF
+	case err != nil:
 		b.err = jvfault.New("read response", KindBroken, err)
 	}
 	return n, err
@@ -131,8 +135,16 @@
 // Close implements io.Closer.
 func (b *peerBody) Close() error {
 	err := b.ReadCloser.Close()
-	if !b.ended {
-		b.ended = true
+	if b.ended {
+		return err
+	}
+	b.ended = true
+	switch {
+	case b.err == nil:
+		b.end(jvfault.Newf("read response", KindCallerDisconnected, "the other router has left"))
+	case errors.Is(b.err, io.EOF):
+		b.end(nil)
+	default:
 		b.end(b.err)
 	}
 	return err
