jvrelay: forward the bytes of a long response that arrive with its break

Callers of a response over the buffer's limit lost the bytes that a read returned together with an error. Evidence: TestLongResponseKeepsWhatArrived failed and passes.

--- a/internal/jvrelay/response.go
+++ b/internal/jvrelay/response.go
@@ -102,18 +102,20 @@
 // forwardLongResponse forwards what was read of a response, and the rest as it arrives.
 func (r *Relay) forwardLongResponse(a *activeRequest, response *Response, begun []byte) error {
 	a.begin(response, -1)
+	var readErr error // It may come with the last bytes.
 	for part := begun; ; {
 		if err := a.caller.Write(part); err != nil {
 			return jvfault.New("forward response", KindCallerDisconnected, err)
 		}
-		n, err := response.Body.Read(begun[:cap(begun)])
-		part = begun[:n]
 		switch {
-		case errors.Is(err, io.EOF) && n == 0:
+		case errors.Is(readErr, io.EOF):
 			return a.finish(response.End)
-		case err != nil && !errors.Is(err, io.EOF):
-			return jvfault.New("read response", KindBroken, err)
+		case readErr != nil:
+			return jvfault.New("read response", KindBroken, readErr)
 		}
+		var n int
+		n, readErr = response.Body.Read(begun[:cap(begun)])
+		part = begun[:n]
 	}
 }
 
--- a/internal/jvrelay/response_test.go
+++ b/internal/jvrelay/response_test.go
@@ -301,3 +301,30 @@
 		})
 	}
 }
+
+// TestLongResponseKeepsWhatArrived guards against losing bytes of a long response that arrive together with its break.
+func TestLongResponseKeepsWhatArrived(t *testing.T) {
+	const long = "more bytes than the buffer has"
+	for _, cut := range []bool{false, true} {
+		caller, _ := serveAnswers(t, jvroute.KindSafe, func(o *Options) {
+			o.Sender = bodySender{body: func() io.Reader {
+				if cut {
+					return iotest.DataErrReader(io.MultiReader(strings.NewReader(long), iotest.ErrReader(io.ErrUnexpectedEOF)))
+				}
+				return iotest.DataErrReader(strings.NewReader(long))
+			}}
+			o.MaxBufferedBytes = len(long) / 2
+		})
+		require.Equal(t, long, caller.body.String())
+		require.Equal(t, cut, caller.aborted > 0)
+	}
+}
+
+// bodySender answers each attempt with a body.
+type bodySender struct{ body func() io.Reader }
+
+func (bodySender) Probe(context.Context, jvconfig.Target) ProbeResult { return ProbeAccepted }
+
+func (s bodySender) Send(context.Context, Dispatch) (*Response, error) {
+	return &Response{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(s.body()), Signed: true, End: jvend.Proven}, nil
+}
