A refused connection breaks a claimed end also when this router reaches no other target

Callers saw a response without a length as ended like its server's although its machine refused connections, when the other targets that the router tried refused them as well (one router, most targets ended): the check asked jvreach whether the target is down, which it denies then, since the router's own link may be at fault. Now a refusal is enough for the end of the response: the end may come from a middlebox on the way just as well. For the report of a crash and for doubts about the target the question stays, so that a cut still blames nobody. TestClaimedEndAmongEnded failed and passes.

--- a/internal/jvrelay/active.go
+++ b/internal/jvrelay/active.go
@@ -38,7 +38,7 @@
 	attemptStartedAt time.Time
 	progress         bool
 	// probed is how the machine of the latest attempt's target responded to a connection after the attempt, or "".
-	// ended is what has shown that its process ended with a response that has no length, or "".
+	// ended is what entries have shown of the end of its process, at the end of a response without a length, or "".
 	probed ProbeResult
 	ended  evidence
 	// targetStartedAt is the start of the latest target's process in Unix milliseconds, or 0.
--- a/internal/jvrelay/claim.go
+++ b/internal/jvrelay/claim.go
@@ -8,7 +8,6 @@
 
 	"github.com/jasminevale/jasminevale/internal/jvconfig"
 	"github.com/jasminevale/jasminevale/internal/jvend"
-	"github.com/jasminevale/jasminevale/internal/jvreach"
 )
 
 // claimedBody is the body of a response that ends with its connection. Its end is an error if the target's process has
@@ -48,29 +47,30 @@
 // io.EOF if there is none.
 func (r *Relay) checkEnd(ctx context.Context, a *activeRequest, t jvconfig.Target) error {
 	shown := r.registry.ended(t, a.targetStartedAt)
-	if shown == "" || shown == evidenceLapsed {
-		shown = r.crashes.checkProcess(ctx, a, t, shown == evidenceLapsed)
+	switch shown {
+	case evidenceRestarted, evidenceReplaced:
+		a.ended = shown
+	default:
+		shown = r.crashes.checkListener(ctx, a, t, shown == evidenceLapsed)
 	}
 	if shown == "" {
 		return io.EOF
 	}
-	a.ended = shown
 	return errors.Errorf("the response ended with its connection, and so did the target's process: %s", shown)
 }
 
-// checkProcess returns the evidence that the process of a target has ended which closed its connection, or "". lapsed is
-// true if its entry was removed: that alone shows nothing, since targets that leave may remove it first and serve on.
-func (d *crashDetector) checkProcess(ctx context.Context, a *activeRequest, t jvconfig.Target, lapsed bool) evidence {
+// checkListener returns the evidence that nothing listens any more at the address of a target which has closed its
+// connection, or "". lapsed is true if its entry was removed: that alone shows nothing, since targets that leave may
+// remove it first and serve on.
+func (d *crashDetector) checkListener(ctx context.Context, a *activeRequest, t jvconfig.Target, lapsed bool) evidence {
 	if ctx.Err() != nil || d.options.Reach.Unreachable(t.Name) {
 		return ""
 	}
 	e := d.probe(ctx, a, t)
 	// A machine that does not respond has sent the end a moment ago: its process may run on behind a cut, or a packet
-	// of the probe is lost. So that alone does not turn a response into a broken one.
-	if e == "" || e == evidenceUnreachable && !lapsed {
-		return ""
-	}
-	if !d.options.Reach.Down(jvreach.Target{Name: t.Name, Address: t.Address}) {
+	// of the probe is lost. So that alone does not break a response. A refusal does, also if a middlebox on the way sent
+	// it: the end may be the middlebox's, too.
+	if e == evidenceUnreachable && !lapsed {
 		return ""
 	}
 	return e
--- a/internal/jvrelay/claim_test.go
+++ b/internal/jvrelay/claim_test.go
@@ -214,6 +214,27 @@
 	})
 }
 
+// TestClaimedEndAmongEnded guards against a response without a length that counts as ended like its target's when all
+// targets refuse connections, and against a report of a crash then: this router's own link may be at fault.
+func TestClaimedEndAmongEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		timer := jvtimer.NewService()
+		t.Cleanup(timer.Close)
+		o := jvreach.DefaultOptions()
+		o.Timer = timer
+		o.Random = func() float64 { return 0.5 }
+		o.Targets = func() []jvreach.Target { return []jvreach.Target{{Name: "t0"}, {Name: "t1"}, {Name: "t2"}} }
+		o.Connect = func(context.Context, jvreach.Target) bool { return false }
+		f, s := newClaimFixture(t, jvreach.New(o), script{status: 200, body: "ans", unframed: true, ended: true})
+		var digest jvquarantine.Digest
+		got := f.serve(t.Context(), t, "once", func(q *Request) { digest = jvquarantine.DigestOf(q.digest("w")) })
+		require.Equal(t, "refused 502 failed, retry after 0s", got)
+		require.Equal(t, 1, s.probes)
+		require.False(t, f.relay.options.Quarantine.Suspected(digest))
+		require.Empty(t, f.relay.registry.unverified)
+	})
+}
+
 // TestClaimedEndIsCrash guards against a target's end during a request that no report of a crash names, since the
 // response has no length and ends with the target's process: it is reported as that of a response with a length.
 func TestClaimedEndIsCrash(t *testing.T) {
--- a/internal/jvrelay/crashes.go
+++ b/internal/jvrelay/crashes.go
@@ -76,14 +76,14 @@
 }
 
 // attemptBroke reports a crash and returns true if the target accepts no connections now, and else keeps the
-// attempt until there is evidence. If the entry of the target's next process has shown the crash, it returns false. A target that was silent is not probed: it may be cut off or busy.
+// attempt until there is evidence. Where entries have shown the crash, they also show the next process. A target that was silent is not probed: it may be cut off or busy.
 func (d *crashDetector) attemptBroke(ctx context.Context, a *activeRequest, t jvconfig.Target, silent bool) (ended bool) {
 	b := brokenAttempt{features: a.features, request: a.request.ID, pool: a.pool, address: t.Address, crash: jvquarantine.Crash{
 		Target: t.Name, StartedAtMillis: a.targetStartedAt, SentAt: a.attemptStartedAt, EndedAt: d.options.Timer.Now(), Progress: a.progress,
 	}}
-	if a.ended != "" { // The end of the response has been checked.
+	if a.ended != "" {
 		d.report(b, a.ended)
-		return a.ended != evidenceRestarted && a.ended != evidenceReplaced
+		return false
 	}
 	if !silent && ctx.Err() == nil {
 		e := d.probe(ctx, a, t)
