--- a/internal/jvrelay/claim_test.go
+++ b/internal/jvrelay/claim_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -212,6 +214,27 @@
 	})
 }
 
+// TestClaimedEndAmongEnded guards against a response without a length that counts as ended like its target's when all
+// targets refuse connections, and against a report of a crash then: this router's own link may be at fault.
+func TestClaimedEndAmongEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		timer := jvtimer.NewService()
+		t.Cleanup(timer.Close)
+		o := jvreach.DefaultOptions()
+		o.Timer = timer
+		o.Random = func() float64 { return 0.5 }
+		o.Targets = func() []jvreach.Target { return []jvreach.Target{{Name: "t0"}, {Name: "t1"}, {Name: "t2"}} }
+		o.Connect = func(context.Context, jvreach.Target) bool { return false }
+		f, s := newClaimFixture(t, jvreach.New(o), script{status: 200, body: "ans", unframed: true, ended: true})
+		var digest jvquarantine.Digest
+		got := f.serve(t.Context(), t, "once", func(q *Request) { digest = jvquarantine.DigestOf(q.digest("w")) })
+		require.Equal(t, "refused 502 failed, retry after 0s", got)
+		require.Equal(t, 1, s.probes)
+		require.False(t, f.relay.options.Quarantine.Suspected(digest))
+		require.Empty(t, f.relay.registry.unverified)
+	})
+}
+
 // TestClaimedEndIsCrash guards against a target's end during a request that no report of a crash names, since the
 // response has no length and ends with the target's process: it is reported as that of a response with a length.
 func TestClaimedEndIsCrash(t *testing.T) {
@@ -263,3 +286,35 @@
 		})
 	}
 }
+
+// TestPeerLeaves guards against an attempt for another router that counts as whole although the other router has left
+// before the end of the response.
+func TestPeerLeaves(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		read int
+		want string
+	}{
+		{"before the response", 0, "gone"},
+		{"in the response", 3, "gone"},
+		{"after its last byte, before its end", 6, "gone"},
+		{"after its end", 7, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, _ := newClaimFixture(t, nil, script{status: 200, body: "answer"})
+				r, err := f.relay.ServePeer(t.Context(), Dispatch{
+					Request: &Request{ID: "q", Method: "POST", Host: "h", URI: "/once/x", Header: http.Header{}}, Timeout: time.Second,
+					Selection: Selection{Pool: "p"},
+				}, "r1")
+				require.NoError(t, err)
+				_, err = io.ReadFull(r.Body, make([]byte, c.read))
+				require.Equal(t, c.want == "", errors.Is(err, io.ErrUnexpectedEOF))
+				require.NoError(t, r.Body.Close())
+				var metrics strings.Builder
+				f.relay.Meter().Write(&metrics)
+				require.Contains(t, metrics.String(), fmt.Sprintf("jv_relay_forwarded_total{direction=\"in\",failure=%q} 1", c.want))
+			})
+		})
+	}
+}
