A leaving target's last response is not broken by its end

Callers lost the whole answer of a target that leaves, if it has no length: its machine refuses connections after it, as planned, which counted as evidence that the process ended midway; unsafe requests got 502, and the request was reported as crashing targets. For a target that has announced its leaving a refusal shows nothing: the end stays claimed. Another start time or another instance still breaks it. Tests of claimed ends wait for timers that fire at the moment at which they read state.

--- a/internal/jvrelay/claim.go
+++ b/internal/jvrelay/claim.go
@@ -47,9 +47,11 @@
 // io.EOF if there is none.
 func (r *Relay) checkEnd(ctx context.Context, a *activeRequest, t jvconfig.Target) error {
 	shown := r.registry.ended(t, a.targetStartedAt)
-	switch shown {
-	case evidenceRestarted, evidenceReplaced:
+	switch {
+	case shown == evidenceRestarted, shown == evidenceReplaced:
 		a.ended = shown
+	case r.registry.leaves(t.Name): // It stops listening, and ends after its last response.
+		shown = ""
 	default:
 		shown = r.crashes.checkListener(ctx, a, t, shown == evidenceLapsed)
 	}
@@ -76,6 +78,13 @@
 	return e
 }
 
+// leaves reports whether a target has announced that it leaves.
+func (g *Registry) leaves(name string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.entries[name].Leaving || g.targets.Leaves(name)
+}
+
 // ended returns what the entries show of the end of a target's process, or "". The process started at a time by the
 // target's entry, or 0 if that isn't known.
 func (g *Registry) ended(t jvconfig.Target, startedAtMillis int64) evidence {
--- a/internal/jvrelay/claim_test.go
+++ b/internal/jvrelay/claim_test.go
@@ -137,6 +137,7 @@
 				s.during = f.changeEntry(c.change)
 				require.Equal(t, c.want, f.serve(t.Context(), t, "once", nil))
 				require.Equal(t, c.probes, s.probes)
+				synctest.Wait() // Timers may fire at the same moment.
 				require.Empty(t, f.relay.registry.unverified)
 				require.Empty(t, f.relay.crashes.unresolved)
 				require.Zero(t, f.relay.targets.CountPaused())
@@ -188,6 +189,41 @@
 	}
 }
 
+// TestClaimedEndOfLeavingProcess guards against losing the whole answer of a target that has announced that it leaves, and
+// that stops listening before its last response without a length ends; and against a report of a crash.
+func TestClaimedEndOfLeavingProcess(t *testing.T) {
+	last := script{status: 200, body: "answer", unframed: true, ended: true}
+	announced := last
+	announced.leaving = true
+	for _, c := range []struct {
+		name   string
+		route  string
+		script script
+		change func(e *Entry) *Entry
+		want   string
+	}{
+		{"announced in its response", "once", announced, keepEntry, "200 until the close: answer"},
+		{"announced in its response, repeatable", "safe", announced, keepEntry, "200 until the close: answer"},
+		{"announced in its entry", "once", last, func(e *Entry) *Entry { e.Leaving = true; return e }, "200 until the close: answer"},
+		{"started again", "once", announced, func(e *Entry) *Entry { e.StartedAtMillis++; return e }, "refused 502 failed, retry after 0s"},
+		{"not announced", "once", last, keepEntry, "refused 502 failed, retry after 0s"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, s := newClaimFixture(t, nil, c.script, script{status: 200, body: "second"})
+				s.during = f.changeEntry(c.change)
+				var digest jvquarantine.Digest
+				require.Equal(t, c.want, f.serve(t.Context(), t, c.route, func(q *Request) { digest = jvquarantine.DigestOf(q.digest("w")) }))
+				synctest.Wait()
+				require.Equal(t, c.want != "200 until the close: answer", f.relay.options.Quarantine.Suspected(digest))
+			})
+		})
+	}
+}
+
+// keepEntry leaves a target's entry as it is.
+func keepEntry(e *Entry) *Entry { return e }
+
 // TestClaimedEndBehindCut guards against losing whole responses without a length, and reports of crashes, when this
 // router's own link is cut after their end has arrived.
 func TestClaimedEndBehindCut(t *testing.T) {
@@ -209,6 +245,7 @@
 		}
 		require.Equal(t, "200 until the close: answer", f.serve(t.Context(), t, "once", nil))
 		require.Zero(t, s.probes)
+		synctest.Wait() // Timers fire at the same moment.
 		require.Empty(t, f.relay.registry.unverified)
 		require.Empty(t, f.relay.crashes.unresolved)
 	})
