--- a/internal/jvreset/conn.go
+++ b/internal/jvreset/conn.go
@@ -1,8 +1,10 @@
 package jvreset
 
 import (
+	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -15,6 +17,26 @@
 	sentWait = 200 * time.Millisecond
 	// sentPoll is the interval at which that is checked.
 	sentPoll = 2 * time.Millisecond
+	// readTime is how long a close reads what the caller sends, and waits for the close of its side.
+	readTime = 500 * time.Millisecond
+)
+
+// Values of SO_LINGER: the seconds for which a close waits until what was written is sent.
+const (
+	lingerDiscard    = 0
+	lingerBackground = -1
+)
+
+// closing is how a connection closes.
+type closing int
+
+const (
+	// closeAtOnce is the close outside of responses, and that of one which is broken.
+	closeAtOnce closing = iota
+	// closeRead reads first what the caller has sent, if there is anything, after a response whose framing shows its end.
+	closeRead
+	// closeWait waits for the close of the caller's side, after a response that the close ends.
+	closeWait
 )
 
 // Conn is a caller's connection. The methods that net.Conn lacks do nothing on a nil Conn. It is safe for concurrent use.
@@ -26,6 +48,8 @@
 	mu sync.Mutex
 	// resets is true while the close of the connection resets it.
 	resets bool
+	// close is how the connection closes, if the next request does not come first.
+	close closing
 	// cut is true once the connection only waits for its close.
 	cut bool
 }
@@ -47,29 +71,72 @@
 	return c.Conn.Write(p)
 }
 
+// Close implements net.Conn. A caller may have sent more than its request. Bytes that are not read when a connection
+// closes, or that arrive later, reset it, so that the end of the response before looks like a broken one.
+func (c *Conn) Close() error {
+	if how := c.takeClosing(); how == closeWait || how == closeRead && c.HasUnread() {
+		_ = c.raw.CloseWrite() // An error means that the connection is closed, as it does below.
+		_ = c.raw.SetReadDeadline(c.timer.Now().Add(readTime))
+		_, _ = io.Copy(io.Discard, c.Conn)
+	}
+	return c.Conn.Close()
+}
+
+// takeClosing returns how the connection closes now. A further close waits for nothing.
+func (c *Conn) takeClosing() closing {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	how := c.close
+	c.close = closeAtOnce
+	if c.cut {
+		return closeAtOnce
+	}
+	return how
+}
+
+// CloseUnused closes the connection without a wait.
+func (c *Conn) CloseUnused() error { return c.Conn.Close() }
+
+// CloseWrite ends what the caller can read. net/http calls it before it closes a connection with an unread body.
+func (c *Conn) CloseWrite() error { return c.raw.CloseWrite() }
+
 // ResetUnlessEnded makes the end of the connection a reset until Ended is called, also if this process ends: its close
 // would end the response that begins now.
-func (c *Conn) ResetUnlessEnded() { c.setResets(true) }
+func (c *Conn) ResetUnlessEnded() {
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.resets = true
+	c.close = closeAtOnce
+	_ = c.raw.SetLinger(lingerDiscard) // An error means that the connection is closed.
+}
 
 // Ended lets the connection close after the end of a response.
-func (c *Conn) Ended() { c.setResets(false) }
-
-func (c *Conn) setResets(resets bool) {
-	const discard, inBackground = 0, -1 // Seconds for which a close waits until what was written is sent.
+func (c *Conn) Ended() {
 	if c == nil {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.resets == resets {
-		return
+	c.close = closeRead
+	if c.resets {
+		c.resets = false
+		c.close = closeWait
+		_ = c.raw.SetLinger(lingerBackground) // An error means that the connection is closed.
 	}
-	c.resets = resets
-	linger := inBackground
-	if resets {
-		linger = discard
+}
+
+// Idle lets the connection close without a wait: the response before has ended by its framing, and the connection waits
+// for the next request.
+func (c *Conn) Idle() {
+	if c == nil {
+		return
 	}
-	_ = c.raw.SetLinger(linger) // An error means that the connection is closed.
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.close = closeAtOnce
 }
 
 // Abort prepares the close of a connection whose response broke off. If the close would end the response, Abort waits
@@ -87,7 +154,7 @@
 	c.Cut()
 }
 
-// Cut is Abort without the wait. It also applies to responses that begin later.
+// Cut is Abort without the wait. It also applies to responses that begin or end later.
 func (c *Conn) Cut() {
 	if c == nil {
 		return
@@ -97,18 +164,36 @@
 	c.cut = true
 }
 
+// HasUnread reports whether bytes have arrived that have not been read.
+func (c *Conn) HasUnread() bool {
+	n := 0
+	c.control(func(fd int) {
+		var first [1]byte
+		n, _, _ = syscall.Recvfrom(fd, first[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return n > 0
+}
+
 // unsent returns the number of bytes that were written and that the caller's machine has not acknowledged, or 0 if that
-// can't be learned.
+// can't be learned, or if the caller has reset the connection.
 func (c *Conn) unsent() int {
-	raw, err := c.raw.SyscallConn()
-	if err != nil {
-		return 0
-	}
 	n := 0
-	_ = raw.Control(func(fd uintptr) { // An error means that the connection is closed.
-		if queued, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
+	c.control(func(fd int) {
+		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil && info.State == unix.BPF_TCP_CLOSE {
+			return
+		}
+		if queued, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ); err == nil {
 			n = queued
 		}
 	})
 	return n
 }
+
+// control calls use with the descriptor of the connection, unless that is closed.
+func (c *Conn) control(use func(fd int)) {
+	raw, err := c.raw.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) { use(int(fd)) })
+}
