jvedge: a request of HTTP/1.0 with a body needs a length

As in platform/: such a request ran without its body, which net/http does not read. It is refused with 400, outcome notrun. Evidence: TestOldRequestsWithoutLength failed before (200, run with an empty body).

--- a/internal/jvedge/callers.go
+++ b/internal/jvedge/callers.go
@@ -101,6 +101,13 @@
 // readBody reads a request's body within the limits. It clears the read deadline afterwards, which
 // would otherwise end answers that take longer.
 func (c *Callers) readBody(x *exchange, body io.ReadCloser) ([]byte, *jvfleet.Problem) {
+	if !x.request.ProtoAtLeast(1, 1) && carriesBody(x.request.Method) && x.request.Header.Get("Content-Length") == "" {
+		return nil, &jvfleet.Problem{
+			Name:    jvfleet.ProblemMalformed,
+			Message: "a request of HTTP/1.0 with a body needs a Content-Length",
+			Outcome: jvrecord.OutcomeNotRun,
+		}
+	}
 	control := http.NewResponseController(x)
 	_ = control.SetReadDeadline(c.router.Now().Add(c.limits.ReadTimeout))
 	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
@@ -123,6 +130,9 @@
 	return data, nil
 }
 
+// carriesBody reports whether requests of a method have a body. Without a Content-Length net/http reads none of HTTP/1.0.
+func carriesBody(method string) bool { return method == http.MethodPost || method == http.MethodPut }
+
 // waitEnd waits until a flight has ended or the caller has disconnected.
 func waitEnd(ctx context.Context, fl *jvflight.Flight) (*jvflight.End, error) {
 	for from := int64(0); ; {
