jvfleet: a target that is being killed may break off a connection before it refuses them

A response without a length that a killed process had cut was passed on as claimed, though the process had ended. Cause: the target's load report, which is requested right after the end, broke off as well, and only a refused connection counts: connections of a process that is killed may end before its listener. Now a request that breaks off is repeated, three in all, 10 ms apart; a response that is no load report has a kind of its own and ends the check. Evidence: TestCallEnds, "no length, process killed": all 4 kinds of callers failed, none does now. The test also checks that answers of other VMs are among those it compares.

--- a/internal/jvedge/call_end_test.go
+++ b/internal/jvedge/call_end_test.go
@@ -59,6 +59,7 @@
 		{"no length, reset", ok, "", []string{half}, endReset, endBroken, half, false, ""},
 		{"no length, reset after the head", ok, "", nil, endReset, endBroken, "", false, ""},
 		{"no length, process ended", ok, "", []string{half}, endStop, endBroken, half, false, ""},
+		{"no length, process killed", ok, "", []string{half}, endKill, endBroken, half, false, ""},
 		{"no length, process replaced", ok, instance("i"), []string{half}, endReplace, endBroken, half, false, ""},
 		{"chunks, whole", ok, chunkedHeader, []string{chunk(wholeBody), "0\r\n\r\n"}, endKeep, endProven, wholeBody, true, ""},
 		{"chunks, whole, closed", ok, chunkedHeader + "Connection: close\r\n", []string{chunk(wholeBody), "0\r\n\r\n"}, endClose, endProven, wholeBody, true, ""},
@@ -142,6 +143,7 @@
 		}
 	}
 	running.Wait()
+	require.Positive(t, f.relayed(), "copies whose answer came from another VM")
 	for n, p := range ways {
 		t.Run(p.name, func(t *testing.T) {
 			for k, c := range cases {
--- a/internal/jvedge/end_test.go
+++ b/internal/jvedge/end_test.go
@@ -127,6 +127,15 @@
 	return l.Addr().String()
 }
 
+// relayed returns the number of answers that a router got from the flight of another one.
+func (f *endFleet) relayed() (n uint64) {
+	for _, rt := range f.routers {
+		n += rt.Meter().Relayed.Get()
+	}
+	f.t.Logf("%d answers relayed", n)
+	return n
+}
+
 // transport is how a caller is connected.
 type transport struct {
 	name     string
@@ -213,6 +222,9 @@
 	endReset ending = "reset"
 	// endStop stops listening and closes all connections, as the end of the process does.
 	endStop ending = "stop"
+	// endKill closes all connections and also the next one that it accepts, as a process does that is killed: its
+	// connections may end before its listener. Then it stops listening.
+	endKill ending = "kill"
 	// endReplace closes the connection, and the target then reports another instance.
 	endReplace ending = "replace"
 )
@@ -231,6 +243,7 @@
 	// instance is the name that load reports have, or empty for a target without reports.
 	instance string
 	open     map[net.Conn]bool
+	killed   bool
 	// requests counts the requests by their Idempotency-Key, those for load reports excluded.
 	requests map[string]int
 }
@@ -249,7 +262,12 @@
 			}
 			s.mu.Lock()
 			s.open[c] = true
+			killed := s.killed
 			s.mu.Unlock()
+			if killed {
+				s.close()
+				return
+			}
 			go s.serve(c)
 		}
 	}()
@@ -308,6 +326,13 @@
 			}
 		case endStop:
 			s.close()
+		case endKill:
+			s.mu.Lock()
+			s.killed = true
+			for c := range s.open {
+				_ = c.Close()
+			}
+			s.mu.Unlock()
 		case endReplace:
 			s.mu.Lock()
 			s.instance += "2"
--- a/internal/jvedge/stream_end_test.go
+++ b/internal/jvedge/stream_end_test.go
@@ -229,6 +229,7 @@
 		}
 	}
 	running.Wait()
+	require.Positive(t, f.relayed(), "copies whose answer came from another VM")
 	for n, p := range ways {
 		for _, stream := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, stream %t", p.name, stream), func(t *testing.T) {
--- a/internal/jvengine/client.go
+++ b/internal/jvengine/client.go
@@ -245,9 +245,13 @@
 		return jvtarget.Load{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxLineBytes))
+	if err != nil {
+		return jvtarget.Load{}, transportError(ctx, op, err)
+	}
 	var l jvtarget.Load
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxLineBytes)).Decode(&l); err != nil {
-		return l, jvfault.New(op, KindBroken, err)
+	if err := json.Unmarshal(data, &l); err != nil {
+		return jvtarget.Load{}, jvfault.New(op, KindInvalid, err)
 	}
 	return l, nil
 }
--- a/internal/jvengine/targets.go
+++ b/internal/jvengine/targets.go
@@ -16,6 +16,6 @@
 	Cancel(ctx context.Context, target jvconfig.Target, attempt string) (Usage, error)
 	// Call sends a call to a plain service.
 	Call(ctx context.Context, target jvconfig.Target, c Call) (Response, error)
-	// Load requests a target's load report.
+	// Load requests a target's load report. An error of KindInvalid means that it responds with something else.
 	Load(ctx context.Context, target jvconfig.Target) (jvtarget.Load, error)
 }
--- a/internal/jvfleet/lookup.go
+++ b/internal/jvfleet/lookup.go
@@ -107,9 +107,17 @@
 	return response, false, nil
 }
 
+const (
+	// endPolls is the maximum number of load reports that are requested from a target whose response ended with its
+	// connection: a process that ends may break off a connection before it refuses them.
+	endPolls = 3
+	// endPause is the time between two of them.
+	endPause = 10 * time.Millisecond
+)
+
 // brokeOff reports whether a response is known not to be whole: it ended with its connection, and its target refuses
-// connections or is another instance now. The check comes too late if the answer has been recorded. A failure needs
-// none: its body does not count as an answer.
+// connections or is another instance now. It is checked before the answer is recorded or seen by callers. The body of
+// a failure does not count as an answer, so its end does not matter.
 func (rt *Router) brokeOff(l jvtarget.Lease, r jvengine.Response) bool {
 	if r.End == jvend.Proven || r.Status >= http.StatusInternalServerError {
 		return false
@@ -118,6 +126,10 @@
 		return true
 	}
 	load, err := rt.pollLoad(l.Target)
+	for n := 1; n < endPolls && jvfault.KindOf[jvengine.Kind](err) == jvengine.KindBroken; n++ {
+		<-rt.options.Timer.After(endPause)
+		load, err = rt.pollLoad(l.Target)
+	}
 	if err != nil {
 		return jvfault.KindOf[jvengine.Kind](err) == jvengine.KindUnsent
 	}
