--- a/internal/jvrelay/report.go
+++ b/internal/jvrelay/report.go
@@ -41,6 +41,9 @@
 		values = append(values, "framing", a.framing.String(), "end", a.end.String(), "protocol", a.request.Protocol)
 		r.options.Meter.CountEnd(a.framing.String(), a.end.String(), a.request.Protocol)
 	}
+	if a.probed != "" {
+		values = append(values, "probe", string(a.probed))
+	}
 	if !a.firstByteAt.IsZero() {
 		values = append(values, "first", a.firstByteAt.Sub(a.request.ArrivedAt).Milliseconds())
 	}
