jvrelay: give the probe of a claimed end time for a lost packet

A response without a length whose target has ended counted as ended like its target's if the probe of the target was not answered within 0.25 s: a packet of it was lost, or the router was slow. A lost packet is sent again after 1 s. Now the probe has 1.25 s, a quarter of the time before the deadline at most. Whole responses wait longer only where the target's machine does not respond.

--- a/internal/jvrelay/claim.go
+++ b/internal/jvrelay/claim.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -10,6 +11,14 @@
 	"github.com/jasminevale/jasminevale/internal/jvend"
 )
 
+const (
+	// endProbeTimeout is the maximum time for a connection to a target that may have ended with its response. A lost
+	// packet is sent again after one second.
+	endProbeTimeout = 1250 * time.Millisecond
+	// endProbeShare is the part of the time before the deadline for that: the response has to reach its caller, too.
+	endProbeShare = 4
+)
+
 // claimedBody is the body of a response that ends with its connection. Its end is an error if the target's process has
 // ended as well.
 type claimedBody struct {
@@ -66,7 +75,8 @@
 	if ctx.Err() != nil || d.options.Reach.Unreachable(t.Name) {
 		return ""
 	}
-	e := d.probe(ctx, a, t)
+	left := a.deadline.Sub(d.options.Timer.Now())
+	e := d.probe(ctx, a, t, min(endProbeTimeout, left/endProbeShare))
 	// A machine that does not respond has sent the end a moment ago: its process may run on behind a cut, or a packet
 	// of the probe is lost. So that alone does not break a response. A refusal does, also if a middlebox on the way sent
 	// it: the end may be the middlebox's, too.
--- a/internal/jvrelay/claim_test.go
+++ b/internal/jvrelay/claim_test.go
@@ -17,6 +17,7 @@
 	"github.com/jasminevale/jasminevale/internal/jvmember"
 	"github.com/jasminevale/jasminevale/internal/jvquarantine"
 	"github.com/jasminevale/jasminevale/internal/jvreach"
+	"github.com/jasminevale/jasminevale/internal/jvroute"
 	"github.com/jasminevale/jasminevale/internal/jvtimer"
 )
 
@@ -25,12 +26,19 @@
 	*scriptSender
 
 	probes int
+	// delay is how long the target's machine takes to respond to a probe.
+	delay time.Duration
 	// during is called with the target of each attempt, before its response.
 	during func(t jvconfig.Target)
 }
 
 func (s *probeCounter) Probe(ctx context.Context, t jvconfig.Target) ProbeResult {
 	s.probes++
+	select {
+	case <-time.After(s.delay):
+	case <-ctx.Done():
+		return ProbeNoResponse
+	}
 	return s.scriptSender.Probe(ctx, t)
 }
 
@@ -318,3 +326,33 @@
 		})
 	}
 }
+
+// TestSlowProbeOfClaimedEnd guards against a response without a length that counts as ended like its target's since a
+// packet of the probe is lost, or this router is slow, and against a response that the probe holds past its deadline.
+func TestSlowProbeOfClaimedEnd(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		delay    time.Duration
+		deadline time.Duration
+		want     string
+	}{
+		{"at once", 0, 3 * time.Second, "refused 502 failed, retry after 0s"},
+		{"packet sent again", 1100 * time.Millisecond, 10 * time.Second, "refused 502 failed, retry after 0s"},
+		{"never", time.Hour, 10 * time.Second, "200 until the close: ans"},
+		{"never, near the deadline", time.Hour, 100 * time.Millisecond, "200 until the close: ans"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, s := newClaimFixture(t, nil, script{status: 200, body: "ans", unframed: true, ended: true})
+				s.delay = c.delay
+				f.relay.Configure(jvroute.NewTable(2, jvroute.Limits{}).WithPools([]jvroute.Pool{{Name: "p"}}).WithRoutes([]jvroute.Route{{
+					Name: "once", Host: "h", Prefix: "/", Kind: jvroute.KindUnsafe, MaxAttempts: 1, Pools: []jvroute.WeightedPool{{Pool: "p", Weight: 1}},
+				}}))
+				begun := time.Now()
+				require.Equal(t, c.want, f.serve(t.Context(), t, "once", func(q *Request) { q.Deadline = begun.Add(c.deadline) }))
+				require.Less(t, time.Since(begun), min(c.deadline, 2*endProbeTimeout))
+				require.Equal(t, 1, s.probes)
+			})
+		})
+	}
+}
--- a/internal/jvrelay/crashes.go
+++ b/internal/jvrelay/crashes.go
@@ -86,7 +86,7 @@
 		return false
 	}
 	if !silent && ctx.Err() == nil {
-		e := d.probe(ctx, a, t)
+		e := d.probe(ctx, a, t, probeTimeout)
 		if e != "" && d.options.Reach.Down(jvreach.Target{Name: t.Name, Address: t.Address}) {
 			d.report(b, e)
 			return true
@@ -107,9 +107,9 @@
 
 // probe returns the evidence that a target's machine gives by not accepting a connection, or "". It connects once for
 // each attempt.
-func (d *crashDetector) probe(ctx context.Context, a *activeRequest, t jvconfig.Target) evidence {
+func (d *crashDetector) probe(ctx context.Context, a *activeRequest, t jvconfig.Target, timeout time.Duration) evidence {
 	if a.probed == "" {
-		probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+		probeCtx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		result := d.options.Sender.Probe(probeCtx, t)
 		if result == ProbeNoResponse && ctx.Err() != nil { // The attempt's own deadline ended the probe.
