jvrelay: the times of a stop count from its beginning also if the process does not run then

Callers saw: at a load of about 35 on 8 cores, 9 unsafe requests got a 502 and 6 streams were cut that one stopping router had taken more than 0.35 s after its notice (TestStopLateRequests, slower than ever, grace 3 s; 1 of 5 runs).

Cause, by the times of that run, its log was not kept: the router's connections closed by a plan that begins at 0.0 s (resets at 2.54 s, exit after 2.61 s), and requests were taken after 1.35 s, so the relay's notice ended 0.35 s late or more. The relay took the time of its own when it was called, after the line "stopping" was logged. Pauses of 0.29 s before that line and of 0.1 s within it were seen in later runs at such loads.

Evidence: TestLateStop, which fails with the times of Stop ("200" in place of the refusal).

TestStopLateRequests takes the end of the notice from the router's log: a signal reached a router 0.46 s late.

--- a/internal/jvrelay/late_test.go
+++ b/internal/jvrelay/late_test.go
@@ -143,6 +143,22 @@
 	}
 }
 
+// TestLateStop guards against a router that takes requests for longer than its stop's plan says since the process did not
+// run when the stop began: they are cut when the plan's drain ends.
+func TestLateStop(t *testing.T) {
+	const pause = 400 * time.Millisecond
+	plan := PlanStop(3 * time.Second)
+	synctest.Test(t, func(t *testing.T) {
+		s := newLateFixture(t, 0)
+		startedAt := time.Now()
+		time.Sleep(pause)
+		s.relay.StopAt(startedAt, plan)
+		time.Sleep(plan.Notice - pause/2)
+		got := s.serve(t.Context(), t, "once", func(q *Request) { q.Deadline = q.ArrivedAt.Add(time.Minute) })
+		require.Equal(t, lateRefused, got)
+	})
+}
+
 // TestLateRareResponse guards against a stopping router that takes a request late whose route has a rare long response,
 // since none of the latest ones was, or none has ended so far.
 func TestLateRareResponse(t *testing.T) {
