--- a/internal/jvreach/ask.go
+++ b/internal/jvreach/ask.go
@@ -13,14 +13,22 @@
 type result struct {
 	// answers is the number of routers that answered and are not cut off themselves.
 	answers int
-	// reached are the targets that accepted a connection of any of them.
-	reached map[string]bool
+	// reached are the targets that any of them reached, answered those of them that sent it bytes, and mute those that
+	// accepted its connection and sent none, muteThere those among them of routers that other targets answered.
+	reached   map[string]bool
+	answered  map[string]bool
+	mute      map[string]bool
+	muteThere map[string]bool
+	// sound are the routers that targets answered.
+	sound []jvmember.Member
 	// routers are some of those to which targets have responded lately, responded are some of these targets.
 	routers   []jvmember.Member
 	responded map[string]bool
 }
 
-func newResult() result { return result{reached: map[string]bool{}, responded: map[string]bool{}} }
+func newResult() result {
+	return result{reached: map[string]bool{}, answered: map[string]bool{}, mute: map[string]bool{}, muteThere: map[string]bool{}, responded: map[string]bool{}}
+}
 
 // with returns all that two results say.
 func (r result) with(other result) result {
@@ -28,12 +36,49 @@
 	for _, part := range []result{r, other} {
 		all.answers += part.answers
 		all.routers = append(all.routers, part.routers...)
+		all.sound = append(all.sound, part.sound...)
 		maps.Copy(all.reached, part.reached)
+		maps.Copy(all.answered, part.answered)
+		maps.Copy(all.mute, part.mute)
+		maps.Copy(all.muteThere, part.muteThere)
 		maps.Copy(all.responded, part.responded)
 	}
 	return all
 }
 
+// record records the answer of one of the routers that were asked.
+func (r *result) record(a answer, asked []jvmember.Member) {
+	r.answers++
+	for _, name := range a.Reached {
+		r.reached[name] = true
+		if a.Exchanged {
+			r.answered[name] = true
+		}
+	}
+	for _, name := range a.Mute {
+		r.mute[name] = true
+		if len(a.Reached) > 0 {
+			r.muteThere[name] = true
+		}
+	}
+	i := slices.IndexFunc(asked, func(other jvmember.Member) bool { return other.Name == a.From })
+	if i >= 0 && a.Exchanged && len(a.Reached) > 0 {
+		r.sound = append(r.sound, asked[i])
+	}
+}
+
+// mostAnswered reports whether targets answered other routers, and most of those that accepted their connections. The
+// connections of a router that no target answered may have been accepted on the way.
+func (r result) mostAnswered() bool {
+	mute := 0
+	for name := range r.muteThere {
+		if !r.answered[name] {
+			mute++
+		}
+	}
+	return len(r.answered) > 0 && len(r.answered) >= mute
+}
+
 // ask lets some other routers connect to targets, and returns once one of them has reached all of them, all have
 // answered, or it takes too long.
 func (m *Monitor) ask(targets []Target) result {
@@ -70,10 +115,7 @@
 			if a.Cut {
 				continue
 			}
-			r.answers++
-			for _, name := range a.Reached {
-				r.reached[name] = true
-			}
+			r.record(a, asked)
 			if len(r.reached) >= len(targets) {
 				return r
 			}
--- a/internal/jvreach/check.go
+++ b/internal/jvreach/check.go
@@ -10,34 +10,45 @@
 
 // check connects to a sample of targets, asks other routers about those that it can't reach, and draws the
 // conclusions. A failed connection alone shows nothing: the target may be down. It is unreachable from here if it
-// then accepts a connection of another router, and after that still none of this one.
+// then accepts a connection of another router, and after that still none of this one. A connection that is accepted
+// shows nothing either if no target answers on it: something on the way may have accepted it.
 func (m *Monitor) check(suspects []string) {
 	sample := m.checkSample(suspects)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	contacts := make(chan result, 1)
 	go func() { contacts <- m.askContacts(ctx) }()
-	reached := m.connectEach(sample, cancel)
-	missing := without(sample, reached)
+	here := m.connectEach(sample, cancel)
+	missing := without(sample, here.accepted)
 	others := newResult()
 	switch {
-	case len(missing) > 0 && len(reached) == 0:
-		others = m.askAboutCut(missing, contacts)
+	case len(sample) > 0 && len(here.answered) == 0:
+		others = m.askAboutCut(sample, contacts)
 	case len(missing) > 0:
 		others = m.ask(missing)
 	}
 	targets := m.options.Targets()
 	again := among(targets, others.reached)
 	again = append(again, among(without(targets, others.reached), others.responded)...)
-	if len(reached) == 0 && others.answers == 0 {
+	if len(here.accepted) == 0 && others.answers == 0 {
 		again = m.sampleOf(without(targets, namesOf(sample)), sampleAll)
 	}
-	maps.Copy(reached, m.connect(again))
-	if len(reached) == 0 && len(others.reached) == 0 { // All of the sample may be down.
+	here.add(m.connect(again))
+	if len(here.answered) == 0 && len(others.reached) == 0 { // All of the sample may be down.
 		others = others.with(m.askRouters(others.routers, among(targets, others.responded)))
-		maps.Copy(reached, m.connect(among(targets, others.reached)))
+		here.add(m.connect(among(targets, others.reached)))
 	}
-	m.conclude(sample, reached, others)
+	m.conclude(sample, here, others, len(here.answered) == 0 && len(here.accepted) > 0 && m.answerOthers(targets, others))
+}
+
+// answerOthers reports whether targets answer other routers, and not only now and then: most of those that accepted their
+// connections have answered, and most of these do so again.
+func (m *Monitor) answerOthers(targets []Target, others result) bool {
+	if !others.mostAnswered() {
+		return false
+	}
+	again := m.askRouters(others.sound[:min(len(others.sound), askedRouters)], among(targets, others.answered))
+	return 2*len(again.answered) > len(others.answered)
 }
 
 // checkSample returns the targets to which a check connects: suspects that are not known to be unreachable come first.
@@ -108,55 +119,90 @@
 	return first.with(m.askRouters(first.routers, missing))
 }
 
+// contacts are the names of the targets that accepted a connection, and of those of them that sent bytes.
+type contacts struct {
+	accepted map[string]bool
+	answered map[string]bool
+}
+
+// add adds others.
+func (c contacts) add(others contacts) {
+	maps.Copy(c.accepted, others.accepted)
+	maps.Copy(c.answered, others.answered)
+}
+
 // connect returns the targets that accept a connection from here.
-func (m *Monitor) connect(targets []Target) map[string]bool { return m.connectEach(targets, func() {}) }
+func (m *Monitor) connect(targets []Target) contacts { return m.connectEach(targets, func() {}) }
 
-// connectEach is connect; accepted is called for each target that accepts.
-func (m *Monitor) connectEach(targets []Target, accepted func()) map[string]bool {
+// connectEach is connect; answered is called for each target that sends bytes.
+func (m *Monitor) connectEach(targets []Target, answered func()) contacts {
 	var mu sync.Mutex
-	reached := map[string]bool{}
+	c := contacts{accepted: map[string]bool{}, answered: map[string]bool{}}
 	var connecting sync.WaitGroup
 	for _, t := range targets {
 		connecting.Go(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
 			defer cancel()
-			if m.options.Connect(ctx, t) {
-				accepted()
+			accepts, answers := m.exchange(ctx, t)
+			if answers {
+				answered()
 				m.recordAnswer(t.Name)
-				mu.Lock()
-				defer mu.Unlock()
-				reached[t.Name] = true
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if accepts {
+				c.accepted[t.Name] = true
+			}
+			if answers {
+				c.answered[t.Name] = true
 			}
 		})
 	}
 	connecting.Wait()
-	return reached
+	return c
+}
+
+// exchange reports whether a target accepts a connection, and whether it sends bytes.
+func (m *Monitor) exchange(ctx context.Context, t Target) (accepted, answered bool) {
+	if m.options.Exchange != nil {
+		return m.options.Exchange(ctx, t)
+	}
+	accepted = m.options.Connect(ctx, t)
+	return accepted, accepted
 }
 
 // conclude updates what is unreachable after a check.
-func (m *Monitor) conclude(sample []Target, reached map[string]bool, others result) {
+func (m *Monitor) conclude(sample []Target, here contacts, others result, mute bool) {
 	m.mu.Lock()
 	now := m.options.Timer.Now()
 	m.checking = false
 	before := len(m.unreachable)
+	mute = m.findMute(here, mute, now)
 	for name := range others.reached {
-		if !reached[name] {
+		if !here.accepted[name] || mute && others.answered[name] {
 			m.unreachable[name] = true
 		}
 	}
-	for name := range reached {
-		delete(m.failures, name)
+	if len(here.answered) > 0 {
+		for name := range here.accepted {
+			delete(m.failures, name)
+		}
 	}
 	m.keepUntried(sample, now)
 	// Without an answer only this router's own link can be at fault, if it reaches the store and no target at all.
 	alone := others.answers == 0 && len(sample) >= minFailures && m.options.StoreReachable()
-	cut := len(sample) > 0 && len(reached) == 0 && (len(others.reached) > 0 || alone)
+	refused := len(sample) > 0 && len(here.accepted) == 0 && (len(others.reached) > 0 || alone)
+	cut := refused || mute
 	found := cut || len(m.unreachable) > before
-	if !found {
+	switch {
+	case found:
+	case m.muteSince.IsZero():
 		m.checkedAt = now
+	default:
+		m.checkedAt = now.Add(mutePause - checkPause)
 	}
 	if cut {
-		m.cut = true
+		m.cut, m.mute = true, mute
 		m.servedAt = now
 	}
 	unreachable := slices.Sorted(maps.Keys(m.unreachable))
@@ -164,11 +210,28 @@
 	if !found {
 		return
 	}
-	m.options.Logger.Info("targets unreachable from here", "cut", cut, "targets", unreachable, "sample", len(sample), "routers", others.answers, "reached", len(others.reached))
+	m.options.Logger.Info("targets unreachable from here", "cut", cut, "mute", mute, "targets", unreachable, "sample", len(sample), "routers", others.answers, "reached", len(others.reached))
 	m.askStates()
 	m.options.Changed(nil)
 }
 
+// findMute reports whether all targets are mute: none has answered a check here or responded to an attempt for muteTime,
+// while in muteChecks checks, of which the latest is one, targets answered other routers. It records these checks; m.mu
+// must be held.
+func (m *Monitor) findMute(here contacts, mute bool, now time.Time) bool {
+	if len(here.answered) > 0 || m.respondedAt.After(m.muteSince) {
+		m.muteSince, m.muteChecks = time.Time{}, 0
+	}
+	if !mute || !m.respondedAt.Before(m.beganAt) {
+		return false
+	}
+	if m.muteChecks == 0 {
+		m.muteSince = m.beganAt
+	}
+	m.muteChecks++
+	return m.muteChecks >= muteChecks && now.Sub(m.muteSince) >= muteTime
+}
+
 // keepUntried makes failures during a check, of targets that it did not try, count from its end, so that they are not
 // forgotten in the pause before the next one; m.mu must be held.
 func (m *Monitor) keepUntried(sample []Target, now time.Time) {
--- a/internal/jvreach/fleet_test.go
+++ b/internal/jvreach/fleet_test.go
@@ -34,6 +34,12 @@
 	hang bool
 	// dead are the routers that don't answer.
 	dead map[string]bool
+	// muted are the routers whose connections are accepted on the way to all targets, and then hang or are reset.
+	// frozen are targets that accept connections and send nothing.
+	muted  map[string]bool
+	frozen map[string]bool
+	// overload is the share of connections that targets accept and reset, since they have too many.
+	overload float64
 	// work is how long targets take to respond to a request.
 	work time.Duration
 }
@@ -56,7 +62,7 @@
 func inFleet(t *testing.T, routers, targets int, test func(t *testing.T, f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fleet{timer: jvtimer.NewService(), random: jvchance.NewSource([32]byte{1}), choices: jvchance.NewSource([32]byte{1})}
-		f.network = network{lost: map[string]map[string]bool{}, down: map[string]bool{}, dead: map[string]bool{}}
+		f.network = network{lost: map[string]map[string]bool{}, down: map[string]bool{}, dead: map[string]bool{}, muted: map[string]bool{}, frozen: map[string]bool{}}
 		for i := range targets {
 			f.targets = append(f.targets, Target{Name: fmt.Sprint("target-", i), Address: fmt.Sprint("10.0.1.1:", i)})
 		}
@@ -88,7 +94,7 @@
 		return list
 	}
 	o.Targets = func() []Target { return slices.Clone(f.targets) }
-	o.Connect = func(ctx context.Context, t Target) bool { return f.connect(ctx, r, t) }
+	o.Exchange = func(ctx context.Context, t Target) (bool, bool) { return f.exchange(ctx, r, t) }
 	o.Send = func(to jvmember.Member, data []byte) { f.send(r.member.Name, to.Name, data) }
 	o.Room = func() int64 { return 10 }
 	o.Changed = func(recovered []string) {
@@ -102,17 +108,20 @@
 	r.Monitor = New(o)
 }
 
-func (f *fleet) connect(ctx context.Context, r *router, t Target) bool {
+// exchange reports whether a router's connection to a target is accepted, and whether bytes come back.
+func (f *fleet) exchange(ctx context.Context, r *router, t Target) (accepted, answered bool) {
 	const roundTrip = time.Millisecond
 	f.mu.Lock()
-	fails, hangs := f.down[t.Name] || f.lost[r.member.Name][t.Name], f.hang
+	accepted = f.muted[r.member.Name] || !f.down[t.Name] && !f.lost[r.member.Name][t.Name]
+	hangs := (f.muted[r.member.Name] || !accepted) && f.hang || accepted && f.frozen[t.Name]
+	answered = accepted && !f.muted[r.member.Name] && !f.frozen[t.Name] && f.random.Float() >= f.overload
 	f.mu.Unlock()
-	if fails && hangs {
+	if hangs {
 		<-ctx.Done()
-		return false
+		return accepted, false
 	}
 	time.Sleep(roundTrip)
-	return !fails
+	return accepted, answered
 }
 
 // send delivers a message after a delay.
@@ -173,13 +182,16 @@
 	defer r.End()
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	if f.connect(ctx, r, t) {
+	accepted, answered := f.exchange(ctx, r, t)
+	switch {
+	case answered:
 		f.mu.Lock()
 		work := f.work
 		f.mu.Unlock()
 		time.Sleep(work)
 		r.Contact(t.Name)
-		return
+	case accepted && ctx.Err() != nil: // The request was sent, and stalls.
+	default:
+		r.Failed(t.Name)
 	}
-	r.Failed(t.Name)
 }
--- a/internal/jvreach/message.go
+++ b/internal/jvreach/message.go
@@ -34,8 +34,11 @@
 	Cut bool `cbor:"cut,omitempty"`
 	// Room is the number of requests that the router takes from others.
 	Room int64 `cbor:"room"`
-	// Reached are the targets that accepted a connection.
-	Reached []string `cbor:"reached,omitempty"`
+	// Reached are the targets that accepted a connection and, if Exchanged is true, sent bytes. Mute are those that
+	// accepted one and sent none. Earlier releases only open a connection.
+	Reached   []string `cbor:"reached,omitempty"`
+	Exchanged bool     `cbor:"exchanged,omitempty"`
+	Mute      []string `cbor:"mute,omitempty"`
 	// Contact is true if a target has responded to the router in the time that the question names, Responded are
 	// some of these targets. Earlier releases don't name them.
 	Contact   bool     `cbor:"contact,omitempty"`
@@ -58,6 +61,7 @@
 	}
 	if m.Answer != nil {
 		names = append(names, m.Answer.Reached...)
+		names = append(names, m.Answer.Mute...)
 		names = append(names, m.Answer.Responded...)
 		names = append(names, m.Answer.From)
 	}
--- a/internal/jvreach/monitor.go
+++ b/internal/jvreach/monitor.go
@@ -15,14 +15,21 @@
 
 	mu sync.Mutex
 	// unreachable are the targets that answer others and not this router. cut is true while it reaches no target.
+	// mute is true while it does although something on the way accepts its connections.
 	cut         bool
+	mute        bool
 	unreachable map[string]bool
 	// attempts is the number of attempts in progress, contactAt when a target last responded to one, or the
-	// first one of those in progress began. answers are the times at which targets last responded, or accepted a
-	// connection of a check.
+	// first one of those in progress began. answers are the times at which targets last responded, or answered a
+	// check.
 	attempts  int
 	contactAt time.Time
 	answers   map[string]time.Time
+	// respondedAt is when a target last responded to an attempt. muteChecks is the number of checks since then in which
+	// targets answered others and none this router, muteSince the beginning of the first one, or 0.
+	respondedAt time.Time
+	muteSince   time.Time
+	muteChecks  int
 	// failures are the times of the latest failed connections, by target.
 	failures map[string]time.Time
 	// checking is true while a check runs, beganAt is when the last one began, checkedAt when the last one that
@@ -91,10 +98,11 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.contactAt = m.options.Timer.Now()
+	m.respondedAt = m.contactAt
 	m.answers[target] = m.contactAt
 }
 
-// recordAnswer records that a target has accepted a connection.
+// recordAnswer records that a target has answered a check.
 func (m *Monitor) recordAnswer(target string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -200,7 +208,7 @@
 	m.mu.Lock()
 	now := m.options.Timer.Now()
 	maps.DeleteFunc(m.answers, func(_ string, at time.Time) bool { return now.Sub(at) > answerAge })
-	silent := m.attempts > 0 && now.Sub(m.contactAt) > silenceTime && m.startCheck(now)
+	silent := (m.attempts > 0 && now.Sub(m.contactAt) > silenceTime || !m.muteSince.IsZero()) && m.startCheck(now)
 	unreachable := m.cut || len(m.unreachable) > 0
 	retry := unreachable && !m.retrying && now.Sub(m.retriedAt) >= retryInterval
 	if retry {
@@ -243,7 +251,7 @@
 	others := m.ask([]Target{t})
 	switch {
 	case others.reached[t.Name]:
-		if len(m.connect([]Target{t})) > 0 { // It is back.
+		if len(m.connect([]Target{t}).accepted) > 0 { // It is back.
 			return false
 		}
 		m.mu.Lock()
@@ -252,11 +260,13 @@
 		m.Failed(t.Name)
 		m.options.Changed(nil)
 		return false
+	case others.mute[t.Name]:
+		return false
 	case others.answers > 0:
 		return true
 	}
 	rest := slices.DeleteFunc(m.options.Targets(), func(other Target) bool { return other.Name == t.Name })
-	return len(rest) == 0 || len(m.connect(m.sampleRecent(rest))) > 0
+	return len(rest) == 0 || len(m.connect(m.sampleRecent(rest)).accepted) > 0
 }
 
 // Receive handles a message of another router; reply sends one back to it.
@@ -268,7 +278,7 @@
 	if q := decoded.Question; q != nil {
 		m.hearCut(q.From, q.Cut)
 		if len(q.Targets) == 0 {
-			reply(m.answerTo(*q, nil))
+			reply(m.answerTo(*q, contacts{}))
 		} else {
 			go func() { reply(m.answerTo(*q, m.connectNamed(q.Targets))) }()
 		}
@@ -279,8 +289,17 @@
 	return nil
 }
 
-func (m *Monitor) answerTo(q question, reached []string) []byte {
-	a := answer{Number: q.Number, From: m.options.Self.Name, Cut: m.Cut(), Reached: reached, Responded: m.answered(q.Contact, maxResponded)}
+func (m *Monitor) answerTo(q question, c contacts) []byte {
+	a := answer{
+		Number: q.Number, From: m.options.Self.Name, Cut: m.Cut(), Responded: m.answered(q.Contact, maxResponded),
+		Exchanged: m.options.Exchange != nil, Reached: slices.Sorted(maps.Keys(c.answered)),
+	}
+	for name := range c.accepted {
+		if !c.answered[name] {
+			a.Mute = append(a.Mute, name)
+		}
+	}
+	slices.Sort(a.Mute)
 	a.Contact = len(a.Responded) > 0
 	if !a.Cut {
 		a.Room = max(m.options.Room(), 0)
@@ -288,10 +307,9 @@
 	return jvcodec.Encode(message{Answer: &a})
 }
 
-// connectNamed returns those of some targets, by name, that accept a connection from here.
-func (m *Monitor) connectNamed(names []string) []string {
-	targets := slices.DeleteFunc(m.options.Targets(), func(t Target) bool { return !slices.Contains(names, t.Name) })
-	return slices.Sorted(maps.Keys(m.connect(targets)))
+// connectNamed connects to some targets, by name.
+func (m *Monitor) connectNamed(names []string) contacts {
+	return m.connect(slices.DeleteFunc(m.options.Targets(), func(t Target) bool { return !slices.Contains(names, t.Name) }))
 }
 
 // hearCut records whether another router reaches targets.
--- a/internal/jvreach/monitor_test.go
+++ b/internal/jvreach/monitor_test.go
@@ -1,6 +1,7 @@
 package jvreach
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"testing"
@@ -19,6 +20,8 @@
 const (
 	knownWithin    = time.Second
 	knownAmongDead = 3 * time.Second
+	// muteWithin is how long a router may take to find a cut in which connections are accepted on the way.
+	muteWithin = 3 * time.Second
 )
 
 // TestCut guards against a router that goes on with targets that it does not reach, or stays away from them after the
@@ -62,6 +65,78 @@
 	}
 }
 
+// TestMiddlebox guards against a router that goes on with targets to which something on the way accepts its connections,
+// and then resets them or is silent (issue 28), while all targets are sound, or most are down.
+func TestMiddlebox(t *testing.T) {
+	for _, hang := range []bool{false, true} {
+		for _, cut := range []int{1, 4} {
+			for _, down := range []int{0, 1, 12, 22} {
+				t.Run(fmt.Sprintf("%d of 6, hang=%t, down=%d", cut, hang, down), func(t *testing.T) {
+					inFleet(t, 6, 25, func(t *testing.T, f *fleet) {
+						f.change(func(n *network) {
+							n.hang = hang
+							for _, g := range f.targets[:down] {
+								n.down[g.Name] = true
+							}
+						})
+						f.drive(time.Second)
+						f.change(func(n *network) {
+							for _, r := range f.routers[:cut] {
+								n.muted[r.member.Name] = true
+							}
+						})
+						f.drive(muteWithin)
+						for range 10 {
+							for n, r := range f.routers {
+								require.Equal(t, n < cut, r.Cut(), "router %d", n)
+								require.False(t, r.Stranded())
+								_, ok := r.SelectPeer(nil)
+								require.True(t, ok)
+							}
+							f.drive(500 * time.Millisecond)
+						}
+						f.change(func(n *network) { clear(n.muted) })
+						f.drive(knownWithin)
+						for n, r := range f.routers {
+							require.Zero(t, r.Count(), "router %d", n)
+						}
+					})
+				})
+			}
+		}
+	}
+}
+
+// TestMuteIsNoCut guards against taking targets that are silent or overloaded for a cut of the own link: they accept
+// connections, and send nothing or reset them.
+func TestMuteIsNoCut(t *testing.T) {
+	for _, overload := range []float64{0, 0.1, 0.5, 0.8, 0.9, 1} {
+		for _, frozen := range []int{0, 1, 20, 25} {
+			for _, idle := range []bool{false, true} {
+				t.Run(fmt.Sprintf("overload=%g, frozen=%d, idle=%t", overload, frozen, idle), func(t *testing.T) {
+					inFleet(t, 6, 25, func(t *testing.T, f *fleet) {
+						f.change(func(n *network) {
+							n.overload = overload
+							for _, g := range f.targets[:frozen] {
+								n.frozen[g.Name] = true
+							}
+						})
+						if idle { // Its only attempt is one that takes long.
+							f.idle = f.routers[0]
+							f.idle.Begin()
+							defer f.idle.End()
+						}
+						f.drive(20 * time.Second)
+						for n, r := range f.routers {
+							require.Zero(t, f.findings(r), "router %d", n)
+						}
+					})
+				})
+			}
+		}
+	}
+}
+
 // TestPartialCut guards against taking a cut from some targets for one from all, or for the targets' fault.
 func TestPartialCut(t *testing.T) {
 	inFleet(t, 6, 20, func(t *testing.T, f *fleet) {
@@ -308,7 +383,7 @@
 		Question *question  `cbor:"ask,omitempty"`
 		Answer   *oldAnswer `cbor:"answer,omitempty"`
 	}
-	old, err := jvcodec.Decode[oldMessage](jvcodec.Encode(message{Answer: &answer{Number: 7, From: "router-1", Room: 3, Contact: true, Responded: []string{"target-0"}}}))
+	old, err := jvcodec.Decode[oldMessage](jvcodec.Encode(message{Answer: &answer{Number: 7, From: "router-1", Room: 3, Contact: true, Responded: []string{"target-0"}, Exchanged: true, Mute: []string{"target-1"}}}))
 	require.NoError(t, err)
 	require.Equal(t, &oldAnswer{Number: 7, From: "router-1", Room: 3, Contact: true}, old.Answer)
 	m, err := decodeMessage(jvcodec.Encode(oldMessage{Answer: old.Answer}))
@@ -337,6 +412,27 @@
 	}
 }
 
+// TestMuteOfOtherBuilds guards against a cut that a router finds by what earlier releases answer: the targets that they
+// name as reached may only have accepted a connection, also on the way.
+func TestMuteOfOtherBuilds(t *testing.T) {
+	for _, hang := range []bool{false, true} {
+		inFleet(t, 3, 25, func(t *testing.T, f *fleet) {
+			r := f.routers[0]
+			for _, other := range f.routers[1:] {
+				other.options.Exchange = nil
+				other.options.Connect = func(context.Context, Target) bool { return true }
+			}
+			f.change(func(n *network) {
+				n.hang = hang
+				n.muted[r.member.Name] = true
+			})
+			f.drive(10 * time.Second)
+			require.False(t, r.Cut())
+			require.Zero(t, f.findings(r))
+		})
+	}
+}
+
 // reachEvent is a disturbance of a history.
 type reachEvent struct {
 	Kind   int
@@ -375,6 +471,18 @@
 		f.change(func(n *network) { n.work = time.Duration(e.Share) * 20 * time.Millisecond })
 	case 9:
 		f.change(func(n *network) { n.work = 0 })
+	case 11: // Connections are accepted on the way.
+		f.change(func(n *network) { n.muted[r.member.Name] = true })
+	case 12:
+		f.change(func(n *network) { clear(n.muted); clear(n.frozen); n.overload = 0 })
+	case 13:
+		f.change(func(n *network) { n.overload = float64(e.Share) / 100 })
+	case 14: // A pool that is silent.
+		f.change(func(n *network) {
+			for _, t := range some {
+				n.frozen[t.Name] = true
+			}
+		})
 	default:
 		f.cutOff(r, nil)
 	}
@@ -385,8 +493,8 @@
 func (f *fleet) mayFind(r *router) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	sound := slices.ContainsFunc(f.targets, func(t Target) bool { return !f.down[t.Name] })
-	return len(f.lost[r.member.Name]) > 0 || !sound
+	sound := slices.ContainsFunc(f.targets, func(t Target) bool { return !f.down[t.Name] && !f.frozen[t.Name] })
+	return len(f.lost[r.member.Name]) > 0 || f.muted[r.member.Name] || !sound
 }
 
 // TestReachHistories guards against histories after which a router does not know what it reaches, or in which it finds a
@@ -396,7 +504,7 @@
 	jvproperty.CheckSlow(t, func(rt *rapid.T) {
 		events := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) reachEvent {
 			return reachEvent{
-				Kind: rapid.IntRange(0, 10).Draw(rt, "kind"), Router: rapid.IntRange(0, 50).Draw(rt, "router"), Share: rapid.IntRange(1, 90).Draw(rt, "share"),
+				Kind: rapid.IntRange(0, 14).Draw(rt, "kind"), Router: rapid.IntRange(0, 50).Draw(rt, "router"), Share: rapid.IntRange(1, 90).Draw(rt, "share"),
 			}
 		}), 1, 10).Draw(rt, "events")
 		hang := rapid.Bool().Draw(rt, "hang")
@@ -447,7 +555,14 @@
 
 // endHistory heals the network, and then cuts a router off. It returns what the routers don't know of that, or "".
 func (f *fleet) endHistory() string {
-	f.change(func(n *network) { clear(n.lost); clear(n.down); clear(n.dead); n.work = 0 })
+	f.change(func(n *network) {
+		clear(n.lost)
+		clear(n.down)
+		clear(n.dead)
+		clear(n.muted)
+		clear(n.frozen)
+		n.work, n.overload = 0, 0
+	})
 	f.drive(2 * knownWithin)
 	for n, r := range f.routers {
 		if r.Count() > 0 {
@@ -462,6 +577,17 @@
 	if _, ok := f.routers[0].SelectPeer(nil); !ok {
 		return "a router knows of none that takes its requests"
 	}
+	f.cutOff(f.routers[0], nil)
+	f.change(func(n *network) { n.muted[f.routers[0].member.Name] = true })
+	f.drive(muteWithin)
+	if !f.routers[0].Cut() {
+		return "a router does not know that its connections are accepted on the way"
+	}
+	f.change(func(n *network) { clear(n.muted) })
+	f.drive(knownWithin)
+	if f.routers[0].Count() > 0 {
+		return "a router does not know that its connections reach targets again"
+	}
 	return ""
 }
 
--- a/internal/jvreach/options.go
+++ b/internal/jvreach/options.go
@@ -30,6 +30,9 @@
 	// Connect opens a connection to a target and closes it. It returns false if the target's machine refuses
 	// connections or does not respond.
 	Connect func(ctx context.Context, t Target) bool
+	// Exchange is used in place of Connect unless it is nil: it sends a message that a target answers at once and does
+	// not run. accepted is Connect's result; answered is true if bytes came back.
+	Exchange func(ctx context.Context, t Target) (accepted, answered bool)
 	// Targets returns all targets in service.
 	Targets func() []Target
 	// StoreReachable reports whether this router reaches the store.
@@ -83,6 +86,12 @@
 	// checkPause is the time from a check that found nothing to the next one, which has to find a cut within
 	// a second.
 	checkPause = 600 * time.Millisecond
+	// muteTime is how long all targets have to be mute, which are those that accept connections and send nothing, and
+	// muteChecks the number of checks that have to find them so, until that is a cut: servers with too many connections
+	// look the same now and then. mutePause is the time from one of these checks to the next one.
+	muteTime   = time.Second
+	muteChecks = 2
+	mutePause  = 200 * time.Millisecond
 	// failureAge is how long a failed connection counts as a sign of a cut, and minFailures the number of
 	// targets from which on a check is made.
 	failureAge  = time.Second
--- a/internal/jvreach/retry.go
+++ b/internal/jvreach/retry.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 )
 
 // retryUnreachable connects to some unreachable targets. Those that accept are reachable again; if several that had
@@ -12,13 +13,19 @@
 	targets := slices.DeleteFunc(m.options.Targets(), func(t Target) bool { return !m.Unreachable(t.Name) })
 	if len(targets) == 0 { // Their entries are gone.
 		m.mu.Lock()
-		m.cut, m.retrying = false, false
+		m.cut, m.mute, m.retrying = false, false, false
 		clear(m.unreachable)
 		m.mu.Unlock()
 		return
 	}
 	sample := m.retrySample(targets)
-	reached := m.connect(sample)
+	here := m.connect(sample)
+	m.mu.Lock()
+	reached := here.accepted
+	if m.mute {
+		reached = here.answered
+	}
+	m.mu.Unlock()
 	if len(reached) == 0 {
 		m.dropDown(sample)
 		m.mu.Lock()
@@ -28,7 +35,7 @@
 	}
 	m.mu.Lock()
 	m.retrying = false
-	m.cut = false
+	m.cut, m.mute, m.muteSince, m.muteChecks = false, false, time.Time{}, 0
 	if tried, back := len(among(sample, m.unreachable)), len(among(among(sample, m.unreachable), reached)); back > 1 || back == tried {
 		clear(m.unreachable)
 	}
@@ -88,11 +95,12 @@
 	}
 	m.mu.Lock()
 	for _, t := range targets {
-		if !others.reached[t.Name] {
+		if !others.reached[t.Name] && !others.mute[t.Name] {
 			delete(m.unreachable, t.Name)
 		}
 	}
 	m.cut = m.cut && len(m.unreachable) > 0 // A check finds out whether the link is still cut.
+	m.mute = m.mute && m.cut
 	dropped := before - len(m.unreachable)
 	m.mu.Unlock()
 	if dropped > 0 {
