jvrelay: a request that gets its slot late in a stop is refused, too

Callers saw: a stream that may not be resumed, sent 0.1 s after SIGTERM, waits for a slot until 4.5 s at a grace of 6 s, is sent to its target with 0.8 s left, lasts 1.5 s and is cut at 5.4 s. It could have been refused.

Cause: the rule of late requests is applied when a request arrives, not when a target is found for it.

Now it is applied again before an attempt of a request that has not run.

--- a/internal/jvrelay/serve.go
+++ b/internal/jvrelay/serve.go
@@ -159,6 +159,10 @@
 			r.endTry(t, jvtarget.ResultInconclusive, false)
 			return quarantined(a, refusal)
 		}
+		if p := r.refuseLate(ctx, a); p != nil && a.possibleRuns == 0 { // It may have waited for a slot since the stop began.
+			r.endTry(t, jvtarget.ResultInconclusive, false)
+			return p
+		}
 		a.startAttempt(r.options.Timer.Now(), t)
 		if t.forwarded {
 			err = r.forwardAttempt(ctx, a, t.peer)
