--- a/internal/jvrelay/late_test.go
+++ b/internal/jvrelay/late_test.go
@@ -50,7 +50,7 @@
 						s.relay.durations.add("stream", duration{first: c.known / 10, rest: c.known * 9 / 10, tokens: 80})
 					}
 				}
-				s.relay.Stop(plan)
+				s.relay.Stop(time.Now(), plan)
 				time.Sleep(c.at)
 				got := s.serve(t.Context(), t, "stream", func(q *Request) {
 					q.Usage.OutputTokens = c.tokens
@@ -96,7 +96,7 @@
 
 // serveLate sends a request at a time after the stop begins, and reports whether it is served.
 func (s *fixture) serveLate(t *testing.T, plan StopPlan, route string, at, wait time.Duration) bool {
-	s.relay.Stop(plan)
+	s.relay.Stop(time.Now(), plan)
 	time.Sleep(at)
 	got := s.serve(t.Context(), t, route, func(q *Request) {
 		q.Usage = Usage{}
@@ -152,7 +152,7 @@
 		s := newLateFixture(t, 0)
 		startedAt := time.Now()
 		time.Sleep(pause)
-		s.relay.StopAt(startedAt, plan)
+		s.relay.Stop(startedAt, plan)
 		time.Sleep(plan.Notice - pause/2)
 		got := s.serve(t.Context(), t, "once", func(q *Request) { q.Deadline = q.ArrivedAt.Add(time.Minute) })
 		require.Equal(t, lateRefused, got)
--- a/internal/jvrelay/relay.go
+++ b/internal/jvrelay/relay.go
@@ -148,12 +148,12 @@
 // SendsAway reports whether callers should open their next connection to another machine.
 func (r *Relay) SendsAway() bool { return r.LinkCongested() || r.options.Reach.Stranded() }
 
-// Stop makes Ready report false. The relay still serves requests, unless they can't be expected to end before the
+// Stop makes Ready report false for a stop that began at a time: the connections close by the times of its plan, also if
+// the process did not run in between. The relay still serves requests, unless they can't be expected to end before the
 // plan's drain does.
-func (r *Relay) Stop(p StopPlan) {
-	now := r.options.Timer.Now()
-	r.open.stop(now)
-	r.stop.Store(&stopTimes{noticeEnd: now.Add(p.Notice), drainEnd: now.Add(p.DrainEnd())})
+func (r *Relay) Stop(startedAt time.Time, p StopPlan) {
+	r.open.stop(startedAt)
+	r.stop.Store(&stopTimes{noticeEnd: startedAt.Add(p.Notice), drainEnd: startedAt.Add(p.DrainEnd())})
 }
 
 // Stopping reports whether Stop has been called.
--- a/internal/jvrelay/serve.go
+++ b/internal/jvrelay/serve.go
@@ -155,14 +155,14 @@
 			a.cause = err.Error()
 			return r.noTargetProblem(a, err)
 		}
-		if refusal, ok := r.options.Quarantine.Admit(ctx, a.features); !ok { // Another router may have reported a crash.
-			r.endTry(t, jvtarget.ResultInconclusive, false)
-			return quarantined(a, refusal)
-		}
 		if p := r.refuseLate(ctx, a); p != nil && a.possibleRuns == 0 { // It may have waited for a slot since the stop began.
 			r.endTry(t, jvtarget.ResultInconclusive, false)
 			return p
 		}
+		if refusal, ok := r.options.Quarantine.Admit(ctx, a.features); !ok { // Another router may have reported a crash.
+			r.endTry(t, jvtarget.ResultInconclusive, false)
+			return quarantined(a, refusal)
+		}
 		a.startAttempt(r.options.Timer.Now(), t)
 		if t.forwarded {
 			err = r.forwardAttempt(ctx, a, t.peer)
--- a/internal/jvrelay/stop.go
+++ b/internal/jvrelay/stop.go
@@ -109,13 +109,6 @@
 	drainEnd  time.Time
 }
 
-// StopAt is Stop for a stop that began at a time: on a busy machine the process may not run between its beginning and this
-// call, and its connections close by the times of the plan.
-func (r *Relay) StopAt(startedAt time.Time, p StopPlan) {
-	r.open.stop(startedAt)
-	r.stop.Store(&stopTimes{noticeEnd: startedAt.Add(p.Notice), drainEnd: startedAt.Add(p.DrainEnd())})
-}
-
 // DrainEnd returns when the drain ends, as the time since the stop began.
 func (p StopPlan) DrainEnd() time.Duration { return p.Notice + p.Drain }
 
