--- a/internal/jvrelay/forward_test.go
+++ b/internal/jvrelay/forward_test.go
@@ -146,7 +146,7 @@
 			}
 		}
 		require.Zero(t, s.relay.entered.Load())
-		s.relay.Stop(time.Now(), PlanStop(8 * time.Second))
+		s.relay.Stop(time.Now(), PlanStop(8*time.Second))
 		_, err = s.relay.ServePeer(t.Context(), dispatch(), "r1")
 		require.Equal(t, KindUnsent, jvfault.KindOf[Kind](err))
 	})
--- a/internal/jvrelay/open_test.go
+++ b/internal/jvrelay/open_test.go
@@ -25,7 +25,7 @@
 			s.serve(ctx, t, "stream", nil)
 		}()
 		time.Sleep(300 * time.Millisecond)
-		s.relay.Stop(time.Now(), PlanStop(8 * time.Second))
+		s.relay.Stop(time.Now(), PlanStop(8*time.Second))
 		time.Sleep(100 * time.Millisecond)
 		lines = nil
 		s.relay.EndDrain()
--- a/internal/jvrelay/serve_test.go
+++ b/internal/jvrelay/serve_test.go
@@ -192,7 +192,7 @@
 		_, reason = s.relay.Ready()
 		require.Equal(t, "link crowded", reason)
 		s.relay.options.Congested = func() bool { return false }
-		s.relay.Stop(time.Now(), PlanStop(8 * time.Second))
+		s.relay.Stop(time.Now(), PlanStop(8*time.Second))
 		_, reason = s.relay.Ready()
 		require.Equal(t, "stopping", reason)
 	})
--- a/internal/jvrelay/wait_test.go
+++ b/internal/jvrelay/wait_test.go
@@ -27,7 +27,7 @@
 				s := newFixture(t, c.script)
 				go func() {
 					time.Sleep(100 * time.Millisecond)
-					s.relay.Stop(time.Now(), PlanStop(3 * time.Second))
+					s.relay.Stop(time.Now(), PlanStop(3*time.Second))
 					s.relay.EndWaits()
 				}()
 				begin := time.Now()
@@ -47,7 +47,7 @@
 func TestEndWaitsRefusesNew(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newFixture(t, script{status: 200, body: "answer"})
-		s.relay.Stop(time.Now(), PlanStop(3 * time.Second))
+		s.relay.Stop(time.Now(), PlanStop(3*time.Second))
 		s.relay.EndWaits()
 		require.Equal(t, "refused 503 stopping, retry after 50ms", s.serve(t.Context(), t, "once", nil))
 		require.Empty(t, s.sender.sent)
