jvreach: questions name no more targets than other routers try

Cause: when all of a check's sample is down, the router asks others about the targets that responded to them: three routers name up to eight each, 24 in all. Other routers reject a question with more than 16 names as malformed, so a cut among many dead targets might not be found. No failure of a caller's was seen; found by reading.

Fix: a question names 16 of the targets at most. TestQuestionAfterManyTargets got no answer before, and has one now.

--- a/internal/jvreach/ask.go
+++ b/internal/jvreach/ask.go
@@ -92,12 +92,13 @@
 	return m.askRouters(asked, targets)
 }
 
-// askRouters is ask for certain routers.
+// askRouters is ask for certain routers. If there are too many targets for a question, it asks about some of them.
 func (m *Monitor) askRouters(asked []jvmember.Member, targets []Target) result {
 	r := newResult()
 	if len(asked) == 0 {
 		return r
 	}
+	targets = m.sampleOf(slices.Clone(targets), maxProbed)
 	names := make([]string, len(targets))
 	for n, t := range targets {
 		names[n] = t.Name
--- a/internal/jvreach/monitor_test.go
+++ b/internal/jvreach/monitor_test.go
@@ -433,6 +433,16 @@
 	}
 }
 
+// TestQuestionAfterManyTargets guards against a question that other routers don't answer, since it names more targets
+// than they try: three routers name up to eight each that have responded to them.
+func TestQuestionAfterManyTargets(t *testing.T) {
+	inFleet(t, 2, askedRouters*maxResponded, func(t *testing.T, f *fleet) {
+		others := f.routers[0].askRouters([]jvmember.Member{f.routers[1].member}, f.targets)
+		require.Equal(t, 1, others.answers)
+		require.Len(t, others.reached, maxProbed)
+	})
+}
+
 // reachEvent is a disturbance of a history.
 type reachEvent struct {
 	Kind   int
