--- a/internal/jvend/end.go
+++ b/internal/jvend/end.go
@@ -2,7 +2,8 @@
 
 import "net/http"
 
-// End is how a response ended, as far as its receiver can know. A higher one shows more.
+// End is how a response ended, as far as its receiver can know. A higher one shows more. The numbers are stored in records
+// of answers.
 type End int
 
 // Ends of a response.
