--- a/internal/jvkeyed/follower.go
+++ b/internal/jvkeyed/follower.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/jasminevale/jasminevale/internal/jvfault"
+	"github.com/jasminevale/jasminevale/internal/jvpressure"
 	"github.com/jasminevale/jasminevale/internal/jvtimer"
 )
 
@@ -36,6 +37,8 @@
 	Apply func(records []Record, complete bool)
 	// OnReconnect is called when the log responds again after a failure; it may be nil.
 	OnReconnect func()
+	// Observe is called at the end of each read that was not canceled; it may be nil.
+	Observe func(jvpressure.Read)
 }
 
 // Follower keeps an offset in a topic and applies the records from there on.
@@ -78,27 +81,33 @@
 // Poll reads once from the follower's offset, or the whole topic where it has no offset yet or the
 // records there are no longer kept.
 func (f *Follower) Poll(ctx context.Context, wait time.Duration) error {
-	return f.read(ctx, func() error { return f.poll(ctx, wait) })
+	return f.read(ctx, wait, func() (int, error) { return f.poll(ctx, wait) })
 }
 
 // Reload lists the newest records of the whole topic. Where records are replaced many times between
 // two reads, that transfers less than reading all of them.
 func (f *Follower) Reload(ctx context.Context) error {
-	return f.read(ctx, func() error { return f.load(ctx) })
+	return f.read(ctx, 0, func() (int, error) { return f.load(ctx) })
 }
 
-// read runs one read at a time and reports its result.
-func (f *Follower) read(ctx context.Context, read func() error) error {
+// read runs one read at a time, which returns the number of records, and reports its result.
+func (f *Follower) read(ctx context.Context, wait time.Duration, read func() (int, error)) error {
 	f.readMu.Lock()
 	defer f.readMu.Unlock()
-	err := read()
-	if !errors.Is(ctx.Err(), context.Canceled) {
-		f.reportResult(err)
+	startedAt := f.options.Timer.Uptime()
+	records, err := read()
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return err
+	}
+	if f.options.Observe != nil {
+		f.options.Observe(jvpressure.Read{StartedAt: startedAt, EndedAt: f.options.Timer.Uptime(), Wait: wait, Records: records, Err: err})
 	}
+	f.reportResult(err)
 	return err
 }
 
-func (f *Follower) poll(ctx context.Context, wait time.Duration) error {
+// poll reads once and returns the number of records.
+func (f *Follower) poll(ctx context.Context, wait time.Duration) (int, error) {
 	if !f.Loaded() {
 		return f.load(ctx)
 	}
@@ -108,26 +117,26 @@
 		return f.load(ctx)
 	}
 	if err != nil {
-		return err
+		return 0, err
 	}
 	if len(page.Records) == 0 {
-		return nil
+		return 0, nil
 	}
 	f.options.Apply(page.Records, false)
 	f.setNext(page.Records[len(page.Records)-1].Offset + 1)
-	return nil
+	return len(page.Records), nil
 }
 
 // load lists the whole topic. The pages together are no snapshot, so the next offset is the end in
-// the first page: what changed while later pages were read is read again.
-func (f *Follower) load(ctx context.Context) error {
+// the first page: what changed while later pages were read is read again. It returns the number of records.
+func (f *Follower) load(ctx context.Context) (int, error) {
 	var all []Record
 	after := ""
 	var end uint64
 	for first := true; ; first = false {
 		page, err := f.options.Topic.Newest(ctx, after)
 		if err != nil {
-			return err
+			return 0, err
 		}
 		if first {
 			end = page.End
@@ -139,14 +148,14 @@
 		after = page.Records[len(page.Records)-1].Key
 	}
 	if f.Loaded() && end < f.NextOffset() {
-		return jvfault.Newf("load topic", KindUnknown, "the topic ends at %d, before the follower's offset %d", end, f.NextOffset())
+		return 0, jvfault.Newf("load topic", KindUnknown, "the topic ends at %d, before the follower's offset %d", end, f.NextOffset())
 	}
 	f.options.Apply(all, true)
 	f.mu.Lock()
 	f.loaded = true
 	f.mu.Unlock()
 	f.setNext(end)
-	return nil
+	return len(all), nil
 }
 
 // setNext advances the next offset; it never goes back.
--- a/internal/jvmeter/relay.go
+++ b/internal/jvmeter/relay.go
@@ -67,6 +67,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("jv_relay_ends_total{framing=%q,end=%q,protocol=%q}", framing, end, protocol)).Inc()
 }
 
+// CountTopicFailure counts a failed call of a topic by its reason.
+func (m *Relay) CountTopicFailure(topic, reason string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("jv_topic_failures_total{topic=%q,reason=%q}", topic, reason)).Inc()
+}
+
 // Gauge registers a gauge that is read when the metrics are written; name may include labels.
 func (m *Relay) Gauge(name string, read func() float64) { m.set.GetOrCreateGauge(name, read) }
 
--- a/internal/jvrelay/active.go
+++ b/internal/jvrelay/active.go
@@ -17,8 +17,12 @@
 	request       *Request
 	caller        Caller
 	configVersion uint64
-	route         jvroute.Route
-	workspace     string
+	// configAge is the age of that configuration when the request was admitted, delay how late the process handled
+	// events then.
+	configAge time.Duration
+	delay     time.Duration
+	route     jvroute.Route
+	workspace string
 	// priority is 0 for the most urgent requests.
 	priority int
 	pool     string
--- a/internal/jvrelay/options.go
+++ b/internal/jvrelay/options.go
@@ -94,8 +94,13 @@
 	// Congested reports whether this machine's network link is so busy that callers are
 	// better served by another machine.
 	Congested func() bool
-	Meter     *jvmeter.Relay
-	Weights   jvtarget.Weights
+	// ConfigAge returns the time since the log had no configuration that this router doesn't know, and false if it
+	// never read one.
+	ConfigAge func() (time.Duration, bool)
+	// Delay returns how late this process handles events now.
+	Delay   func() time.Duration
+	Meter   *jvmeter.Relay
+	Weights jvtarget.Weights
 	// RetryShare is the number of retries that one request adds to its pool's retry budget,
 	// MaxSavedRetries the maximum that the budget holds.
 	RetryShare      float64
@@ -130,6 +135,8 @@
 		TargetsCurrent:   func() bool { return true },
 		AnnounceLeaving:  func(jvsign.Process) {},
 		CountRouters:     func() (int, bool) { return 1, true },
+		ConfigAge:        func() (time.Duration, bool) { return 0, true },
+		Delay:            func() time.Duration { return 0 },
 		Meter:            jvmeter.NewRelay(),
 		Weights:          jvtarget.Weights{CrossZone: 0.10, PrefixBonus: 0.75, PrefixAnyZone: true, MaxReportAge: time.Second},
 		RetryShare:       0.15,
--- a/internal/jvrelay/report.go
+++ b/internal/jvrelay/report.go
@@ -34,6 +34,7 @@
 	r.recordDuration(a, now)
 	values := []any{
 		"request", a.request.ID, "outcome", outcome, "status", a.status, "route", a.route.Name, "version", a.configVersion,
+		"age", a.configAge.Milliseconds(), "delay", a.delay.Milliseconds(),
 		"workspace", a.workspace, "pool", a.pool, "target", a.target, "build", a.version, "via", a.via, "tries", a.attempts, "runs", a.possibleRuns,
 		"events", a.eventsForwarded, "ms", now.Sub(a.request.ArrivedAt).Milliseconds(),
 	}
--- a/internal/jvrelay/serve.go
+++ b/internal/jvrelay/serve.go
@@ -86,6 +86,8 @@
 // priority and deadline by them.
 func (r *Relay) admit(a *activeRequest) *Problem {
 	q := a.request
+	a.configAge, _ = r.options.ConfigAge()
+	a.delay = r.options.Delay()
 	t := r.table.Load()
 	if t == nil {
 		return notRun("unready", "this router has no configuration yet", unreadyRetryAfter)
