--- a/internal/jvgrant/rounds.go
+++ b/internal/jvgrant/rounds.go
@@ -130,7 +130,7 @@
 
 // callTopic runs one use of a topic with the call timeout.
 func (a *Allocator) callTopic(ctx context.Context, use func(context.Context) error) error {
-	ctx, cancel := context.WithTimeout(ctx, a.options.CallTimeout)
+	ctx, cancel := a.options.Timer.WithTimeout(ctx, a.options.CallTimeout)
 	defer cancel()
 	return use(ctx)
 }
--- a/internal/jvkeyed/follower.go
+++ b/internal/jvkeyed/follower.go
@@ -17,6 +17,8 @@
 const (
 	minRetry = 50 * time.Millisecond
 	maxRetry = 500 * time.Millisecond
+	// lateRead is how much longer than its wait a read may take before the next one asks without a wait.
+	lateRead = 250 * time.Millisecond
 )
 
 // Options configure a Follower.
@@ -60,10 +62,16 @@
 
 // Run polls until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
+	wait := f.options.ReadWait
 	for retries := 0; ctx.Err() == nil; {
-		call, cancel := context.WithTimeout(ctx, f.options.ReadTimeout)
-		err := f.Poll(call, f.options.ReadWait)
+		startedAt := f.options.Timer.Uptime()
+		call, cancel := f.options.Timer.WithTimeout(ctx, f.options.ReadTimeout)
+		err := f.Poll(call, wait)
 		cancel()
+		wait = f.options.ReadWait
+		if err != nil || f.options.Timer.Uptime()-startedAt > f.options.ReadWait+lateRead {
+			wait = 0 // What is known is old by now: the next read must not wait for a change.
+		}
 		if err == nil {
 			retries = 0
 			continue
@@ -96,7 +104,7 @@
 	defer f.readMu.Unlock()
 	startedAt := f.options.Timer.Uptime()
 	records, err := read()
-	if errors.Is(ctx.Err(), context.Canceled) {
+	if errors.Is(context.Cause(ctx), context.Canceled) {
 		return err
 	}
 	if f.options.Observe != nil {
--- a/internal/jvkeyed/publisher.go
+++ b/internal/jvkeyed/publisher.go
@@ -146,7 +146,7 @@
 		if len(batch) == 0 {
 			return nil
 		}
-		call, cancel := context.WithTimeout(ctx, appendTimeout)
+		call, cancel := p.options.Timer.WithTimeout(ctx, appendTimeout)
 		_, err := p.options.Topic.Append(call, Producer{}, batch)
 		cancel()
 		if err != nil {
--- a/internal/jvmember/members.go
+++ b/internal/jvmember/members.go
@@ -82,7 +82,7 @@
 func (m *Members) provideSecret(ctx context.Context) {
 	for m.currentSecret() == nil {
 		if m.follower.Loaded() {
-			call, cancel := context.WithTimeout(ctx, secretTimeout)
+			call, cancel := m.options.Timer.WithTimeout(ctx, secretTimeout)
 			_, err := m.options.Topic.AppendAt(call, m.follower.NextOffset(), []jvkeyed.Record{{Key: secretKey, Value: m.options.NewSecret()}})
 			cancel()
 			if err != nil && jvfault.KindOf[jvkeyed.Kind](err) != jvkeyed.KindConflict {
--- a/internal/jvpressure/monitor.go
+++ b/internal/jvpressure/monitor.go
@@ -14,7 +14,7 @@
 	// as long as the period of a processor quota, after which a process that has used up its share runs again.
 	standingTime = 100 * time.Millisecond
 	// minStall is the shortest delay that counts as a stall.
-	minStall = 100 * time.Millisecond
+	minStall = 250 * time.Millisecond
 	// maxPending limits the probes in progress.
 	maxPending = 256
 	// stallMemory is how long stalls are kept.
--- a/internal/jvquarantine/trial.go
+++ b/internal/jvquarantine/trial.go
@@ -39,7 +39,7 @@
 // if this router has read all records before it, so that no two routers claim the same trial. One that is
 // in doubt counts as a trial.
 func (q *Quarantine) claim(ctx context.Context, end uint64, trials []jvkeyed.Record, due []*suspect, now time.Time) bool {
-	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	ctx, cancel := q.options.Timer.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	var err error
 	if q.follower.Loaded() {
--- a/internal/jvtimer/service.go
+++ b/internal/jvtimer/service.go
@@ -12,6 +12,8 @@
 	done   chan struct{}
 	// running counts the goroutines of subscriptions.
 	running sync.WaitGroup
+	// turn is set by Turns, or nil.
+	turn func(done func())
 }
 
 // NewService returns a running timer service.
