--- a/internal/jvpressure/error.go
+++ b/internal/jvpressure/error.go
@@ -21,6 +21,17 @@
 	KindSilent Kind = "silent"
 	// KindRefused means that the other system or the network ended the call.
 	KindRefused Kind = "refused"
+
+	// KindStale means that the configuration is too old, since this process did not read it.
+	KindStale Kind = "stale"
+	// KindRequests means that as many requests are in progress as the machine bears.
+	KindRequests Kind = "requests"
+	// KindMemory means that the process has too little memory left.
+	KindMemory Kind = "memory"
+	// KindProcessor means that the process handles events late, and that the request's workspace has its share.
+	KindProcessor Kind = "processor"
+	// KindLate means that the request has probably waited longer than its caller does.
+	KindLate Kind = "late"
 )
 
 // Error is a failure for want of a resource.
--- a/internal/jvrelay/options.go
+++ b/internal/jvrelay/options.go
@@ -10,6 +10,7 @@
 	"github.com/jasminevale/jasminevale/internal/jvescrow"
 	"github.com/jasminevale/jasminevale/internal/jvmemory"
 	"github.com/jasminevale/jasminevale/internal/jvmeter"
+	"github.com/jasminevale/jasminevale/internal/jvpressure"
 	"github.com/jasminevale/jasminevale/internal/jvquarantine"
 	"github.com/jasminevale/jasminevale/internal/jvreach"
 	"github.com/jasminevale/jasminevale/internal/jvsign"
@@ -94,11 +95,8 @@
 	// Congested reports whether this machine's network link is so busy that callers are
 	// better served by another machine.
 	Congested func() bool
-	// ConfigAge returns the time since the log had no configuration that this router doesn't know, and false if it
-	// never read one.
-	ConfigAge func() (time.Duration, bool)
-	// Delay returns how late this process handles events now.
-	Delay   func() time.Duration
+	// Gate admits requests by what this machine has left; nil means without limits.
+	Gate    *jvpressure.Gate
 	Meter   *jvmeter.Relay
 	Weights jvtarget.Weights
 	// RetryShare is the number of retries that one request adds to its pool's retry budget,
@@ -119,9 +117,6 @@
 	// buffers of responses together.
 	MaxBufferedBytes int
 	Memory           *jvmemory.Budget
-	// MaxActive limits the requests in progress, and with them the connections to targets; 0 means no
-	// limit.
-	MaxActive int64
 	// ReserveWaitShare is the share of a route's target latency that a request may wait for its
 	// reservation.
 	ReserveWaitShare float64
@@ -135,8 +130,6 @@
 		TargetsCurrent:   func() bool { return true },
 		AnnounceLeaving:  func(jvsign.Process) {},
 		CountRouters:     func() (int, bool) { return 1, true },
-		ConfigAge:        func() (time.Duration, bool) { return 0, true },
-		Delay:            func() time.Duration { return 0 },
 		Meter:            jvmeter.NewRelay(),
 		Weights:          jvtarget.Weights{CrossZone: 0.10, PrefixBonus: 0.75, PrefixAnyZone: true, MaxReportAge: time.Second},
 		RetryShare:       0.15,
--- a/internal/jvrelay/peer.go
+++ b/internal/jvrelay/peer.go
@@ -20,7 +20,7 @@
 	startedAt := r.options.Timer.Now()
 	a := &activeRequest{request: d.Request, pool: d.Selection.Pool, features: d.Selection.Features, lastEventID: -1, deadline: startedAt.Add(d.Timeout), open: openRequest{id: d.Request.ID, from: from, arrivedAt: startedAt}}
 	// A router that reaches no target does not forward what others have sent it: there is one hop only.
-	if r.Room() == 0 || r.options.Reach.Cut() || !r.Enter() {
+	if r.Room() == 0 || r.options.Reach.Cut() || !r.options.Gate.EnterOther() {
 		return nil, r.reportPeer(a, from, jvfault.Newf(op, KindUnsent, "this router takes no requests of others now"))
 	}
 	ctx, cancelCause := context.WithCancelCause(ctx)
@@ -37,14 +37,14 @@
 		}
 		cancel()
 		remove()
-		r.Leave()
+		r.options.Gate.LeaveOther()
 		_ = r.reportPeer(a, from, err)
 	}
 	lease, response, err := r.tryForPeer(ctx, a, d, fmt.Sprintf("%s@%s.%d", d.Request.ID, from, startedAt.UnixNano()))
 	if err != nil && a.target == "" {
 		cancel()
 		remove()
-		r.Leave()
+		r.options.Gate.LeaveOther()
 		return nil, r.reportPeer(a, from, jvfault.New(op, KindUnsent, err))
 	}
 	if err != nil {
--- a/internal/jvrelay/relay.go
+++ b/internal/jvrelay/relay.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/jasminevale/jasminevale/internal/jvmeter"
+	"github.com/jasminevale/jasminevale/internal/jvpressure"
 	"github.com/jasminevale/jasminevale/internal/jvreach"
 	"github.com/jasminevale/jasminevale/internal/jvroute"
 	"github.com/jasminevale/jasminevale/internal/jvtarget"
@@ -18,7 +19,6 @@
 	registry *Registry
 	crashes  *crashDetector
 	active   atomic.Int64
-	entered  atomic.Int64
 	// stop has the times of a planned stop, or nil.
 	stop atomic.Pointer[stopTimes]
 	// drained is true once the drain of a stop has ended.
@@ -33,6 +33,11 @@
 
 // NewRelay returns a relay without configuration and targets.
 func NewRelay(o Options) *Relay {
+	if o.Gate == nil {
+		unlimited := jvpressure.DefaultGateOptions()
+		unlimited.Timer = o.Timer
+		o.Gate = jvpressure.NewGate(unlimited)
+	}
 	r := &Relay{options: o, retries: newRetryBudgets(o), open: newOpenRequests(), durations: newDurations()}
 	r.targets = jvtarget.NewTableWith(o.Zone, o.Timer, o.Random.Float, o.Weights, o.Limits).
 		WithLateDrain(o.LateDrain).WithUnreachable(o.Reach.Unreachable).WithSharers(o.Reach.Sharers)
@@ -54,6 +59,9 @@
 // Meter returns the relay's metrics.
 func (r *Relay) Meter() *jvmeter.Relay { return r.options.Meter }
 
+// Gate returns the admission of connections and requests.
+func (r *Relay) Gate() *jvpressure.Gate { return r.options.Gate }
+
 // Table returns the configuration in force, or nil.
 func (r *Relay) Table() *jvroute.Table { return r.table.Load() }
 
@@ -108,7 +116,7 @@
 	case r.options.Reach.Stranded():
 		return false, "cut off from all targets and routers"
 	}
-	return true, ""
+	return r.options.Gate.Ready()
 }
 
 // ReachChanged applies that targets have become unreachable from here, or reachable again, which recovered lists.
@@ -128,18 +136,19 @@
 	return list
 }
 
-// maxRoom is the number of requests that a router takes from others if its memory sets no limit.
+// maxRoom is the number of requests that a router takes from others if its machine sets no limit.
 const maxRoom = 1000
 
 // Room returns how many more requests this router takes from others.
 func (r *Relay) Room() int64 {
-	if ok, _ := r.Ready(); !ok {
+	requests := r.options.Gate.Requests()
+	if ok, _ := r.Ready(); !ok || r.options.Gate.Pressed() {
 		return 0
 	}
-	if r.options.MaxActive == 0 {
+	if requests.Limit() == 0 {
 		return maxRoom
 	}
-	return max(r.options.MaxActive-r.entered.Load(), 0)
+	return max(requests.Limit()-requests.Taken(), 0)
 }
 
 // LinkCongested reports whether this machine's network link is congested.
@@ -159,26 +168,60 @@
 // Stopping reports whether Stop has been called.
 func (r *Relay) Stopping() bool { return r.stop.Load() != nil }
 
-// Enter admits a request, unless as many are in progress as this machine's memory allows. Leave must be
-// called at the end of a request that was admitted.
-func (r *Relay) Enter() bool {
-	if n := r.entered.Add(1); r.options.MaxActive > 0 && n > r.options.MaxActive {
-		r.entered.Add(-1)
-		return false
+// Enter admits a request whose body has not been read, by its workspace's key, its route and how long its caller waits,
+// or returns why not. Leave must be called at the end of a request that was admitted, with its flow.
+func (r *Relay) Enter(key, host, path string, wait time.Duration) (jvpressure.Flow, *jvpressure.Refusal) {
+	q := jvpressure.Request{Wait: wait}
+	if t := r.table.Load(); t != nil {
+		if route, ok := t.Match(host, path); ok {
+			q.Priority = route.Priority
+		}
+		if w, ok := t.WorkspaceByKey(key); ok {
+			q.Workspace = w.Name
+			if w.Priority >= 0 {
+				q.Priority = w.Priority
+			}
+		}
+	}
+	return q.Flow, r.options.Gate.Enter(q)
+}
+
+// Leave ends a request that Enter admitted. refused is what Serve returned.
+func (r *Relay) Leave(f jvpressure.Flow, refused bool) { r.options.Gate.Leave(f, refused) }
+
+// refusalMessages are the messages to callers of requests that are refused unread.
+var refusalMessages = map[jvpressure.Kind]string{
+	jvpressure.KindStale:     "this router's configuration is out of date",
+	jvpressure.KindLate:      "the request has waited longer than its caller does",
+	jvpressure.KindProcessor: "this router has more requests than it can serve",
+	jvpressure.KindMemory:    "this router has too little memory left",
+	jvpressure.KindRequests:  "this router has as many requests in progress as its machine bears",
+}
+
+// unreadProblem returns the problem of a request that was not admitted.
+func unreadProblem(refusal *jvpressure.Refusal) *Problem {
+	name := "overloaded"
+	if refusal.Kind == jvpressure.KindStale {
+		name = "unready"
 	}
-	return true
+	return notRun(name, refusalMessages[refusal.Kind], refusal.RetryAfter)
 }
 
-// Leave ends a request that Enter admitted.
-func (r *Relay) Leave() { r.entered.Add(-1) }
+// RefuseUnread refuses a request that Enter did not admit and that has not been read.
+func (r *Relay) RefuseUnread(id string, refusal *jvpressure.Refusal, c Caller) {
+	c.Refuse(r.CountUnread(id, refusal))
+}
 
-// RefuseFull refuses a request that Enter did not admit and that has not been read.
-func (r *Relay) RefuseFull(id string, c Caller) {
-	p := notRun("overloaded", "this router has as many requests in progress as its memory allows", targetRetryAfter)
+// CountUnread counts a request that Enter did not admit and that has not been read, and returns its problem.
+func (r *Relay) CountUnread(id string, refusal *jvpressure.Refusal) Problem {
+	p := unreadProblem(refusal)
 	r.options.Meter.CountOutcome("", p.Name, p.Status)
 	r.open.countEnd(p.Name, p)
-	r.options.Logger.Info("request refused unread", "request", id, "active", r.Active(), "limit", r.options.MaxActive)
-	c.Refuse(*p)
+	if refusal.Logged {
+		r.options.Logger.Info("request refused unread", "request", id, "reason", string(refusal.Kind), "delay", r.options.Gate.Delay().Milliseconds(),
+			"active", r.Active(), "limit", r.options.Gate.Requests().Limit())
+	}
+	return *p
 }
 
 // Active returns the number of requests in progress.
--- a/internal/jvrelay/serve.go
+++ b/internal/jvrelay/serve.go
@@ -26,8 +26,9 @@
 	targetRetryAfter = 200 * time.Millisecond
 )
 
-// Serve handles one request: route and workspace, reservation, attempts, settlement.
-func (r *Relay) Serve(ctx context.Context, q *Request, c Caller) {
+// Serve handles one request: route and workspace, reservation, attempts, settlement. It reports whether the request was
+// refused before a target ran it.
+func (r *Relay) Serve(ctx context.Context, q *Request, c Caller) (refused bool) {
 	r.active.Add(1)
 	defer r.active.Add(-1)
 	a := newActiveRequest(q, c)
@@ -41,16 +42,17 @@
 	if a.end == jvend.Proven && a.status < http.StatusInternalServerError {
 		r.crashes.requestCompleted(a.completedFeatures())
 	}
-	refused := p != nil && !a.headersSent
-	if refused {
+	answered := p != nil && !a.headersSent
+	if answered {
 		a.status = p.Status
 	}
 	r.report(ctx, a, p) // Before End, which may panic.
-	if refused {
+	if answered {
 		c.Refuse(*p)
-		return
+		return a.possibleRuns == 0
 	}
 	c.End(a.end) // Also after the caller has left: it may have closed its sending direction only.
+	return false
 }
 
 // handle admits the request and runs its attempts, with a reservation if its workspace's budget is
@@ -86,12 +88,15 @@
 // priority and deadline by them.
 func (r *Relay) admit(a *activeRequest) *Problem {
 	q := a.request
-	a.configAge, _ = r.options.ConfigAge()
-	a.delay = r.options.Delay()
+	a.configAge, _ = r.options.Gate.ConfigAge()
+	a.delay = r.options.Gate.Delay()
 	t := r.table.Load()
 	if t == nil {
 		return notRun("unready", "this router has no configuration yet", unreadyRetryAfter)
 	}
+	if refusal := r.options.Gate.Stale(); refusal != nil { // The body may have taken long.
+		return unreadProblem(refusal)
+	}
 	a.configVersion = t.Version()
 	route, ok := t.Match(q.Host, q.Path)
 	if !ok {
--- a/internal/jvtimer/timeout.go
+++ b/internal/jvtimer/timeout.go
@@ -28,6 +28,13 @@
 	}
 }
 
+// AwaitTurn waits until the process has reached the events that are ready now.
+func (s *Service) AwaitTurn() {
+	reached := make(chan struct{})
+	s.nextTurn(func() { close(reached) })
+	<-reached
+}
+
 // nextTurn calls done after a turn, or at once if there are none.
 func (s *Service) nextTurn(done func()) {
 	s.mu.Lock()
