--- a/internal/jvreset/conn.go
+++ b/internal/jvreset/conn.go
@@ -1,6 +1,7 @@
 package jvreset
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -164,6 +165,17 @@
 	c.cut = true
 }
 
+// Left reports whether the caller has closed its side of the connection and nothing is left to read.
+func (c *Conn) Left() bool {
+	left := false
+	c.control(func(fd int) {
+		var first [1]byte
+		n, _, err := syscall.Recvfrom(fd, first[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		left = err == nil && n == 0 || errors.Is(err, syscall.ECONNRESET)
+	})
+	return left
+}
+
 // HasUnread reports whether bytes have arrived that have not been read.
 func (c *Conn) HasUnread() bool {
 	n := 0
