--- a/internal/jvrelay/silence_test.go
+++ b/internal/jvrelay/silence_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +13,7 @@
 
 	"github.com/jasminevale/jasminevale/internal/jvconfig"
 	"github.com/jasminevale/jasminevale/internal/jvend"
+	"github.com/jasminevale/jasminevale/internal/jvfault"
 )
 
 // pausingSender sends streams with a pause after the first event.
@@ -55,3 +57,52 @@
 		require.Equal(t, 1, sender.sent)
 	})
 }
+
+// lateSender responds after a delay.
+type lateSender struct {
+	delay time.Duration
+	sent  int
+}
+
+// Probe implements Sender.
+func (*lateSender) Probe(context.Context, jvconfig.Target) ProbeResult { return ProbeAccepted }
+
+// Send implements Sender.
+func (s *lateSender) Send(ctx context.Context, _ Dispatch) (*Response, error) {
+	s.sent++
+	select {
+	case <-ctx.Done():
+		return nil, jvfault.New("send", KindBroken, context.Cause(ctx))
+	case <-time.After(s.delay):
+	}
+	return &Response{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("late")), Signed: true, End: jvend.Proven}, nil
+}
+
+// lateDelay is longer than a target may be silent, and shorter than the route's timeout.
+const lateDelay = 1600 * time.Millisecond
+
+// TestSilentOnlyTarget guards against canceling a request whose target is silent, while no other target of the pool could
+// take it over: its caller would get a 502 although the response comes.
+func TestSilentOnlyTarget(t *testing.T) {
+	for _, others := range []string{"none", "leaving", "full"} {
+		t.Run(others, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				sender := &lateSender{delay: lateDelay}
+				s := newFixtureWith(t, func(o *Options) { o.Sender = sender })
+				entries := map[string]*Entry{"t0": {Pool: "p", Target: jvconfig.Target{Name: "t0", Zone: "a", Address: "t0:1", Slots: 4, Version: "v1"}}}
+				if others != "none" {
+					entries["t1"] = &Entry{Pool: "p", Leaving: others == "leaving", Target: jvconfig.Target{Name: "t1", Zone: "b", Address: "t1:1", Slots: 4, Version: "v1"}}
+				}
+				s.relay.Registry().Update(entries, true)
+				if others != "full" {
+					require.Equal(t, "200 length 4: late", s.serve(t.Context(), t, "safe", nil))
+					require.Equal(t, 1, sender.sent)
+					return
+				}
+				// A target that would take the request later is worth the change.
+				_ = s.serve(t.Context(), t, "safe", nil)
+				require.Equal(t, 2, sender.sent)
+			})
+		})
+	}
+}
--- a/internal/jvrelay/stall.go
+++ b/internal/jvrelay/stall.go
@@ -54,15 +54,22 @@
 // without a response may wait for a target, a begun stream needs one that accepts it at once: the silent target may
 // still go on.
 func (r *Relay) canMove(a *activeRequest) func() bool {
-	q := jvtarget.Request{Pool: a.pool, Priority: -a.priority, Avoid: append(slices.Clone(a.avoid), a.target), Deadline: a.deadline, Bound: true, Version: a.version}
-	if a.bound {
-		q.Version = a.origin.Version
+	waiting := jvtarget.Request{Pool: a.pool, Priority: -a.priority, Avoid: append(slices.Clone(a.avoid), a.target), Deadline: a.deadline, Bound: a.bound, Version: a.origin.Version}
+	streaming := waiting
+	if !a.bound {
+		streaming.Bound, streaming.Version = true, a.version
 	}
 	forwarded, open := a.via != "", &a.open
 	return func() bool {
 		begun := false
 		open.update(func(o *openRequest) { begun = o.begun })
-		return !begun || forwarded || r.targets.Accepts(q) // The other router selects the target of a forwarded attempt.
+		switch {
+		case forwarded: // The other router selects the target.
+			return true
+		case begun:
+			return r.targets.Accepts(streaming)
+		}
+		return r.targets.MayAccept(waiting)
 	}
 }
 
