--- a/internal/jvreach/check.go
+++ b/internal/jvreach/check.go
@@ -141,7 +141,7 @@
 	var connecting sync.WaitGroup
 	for _, t := range targets {
 		connecting.Go(func() {
-			ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
+			ctx, cancel := m.options.Timer.WithTimeout(context.Background(), connectTimeout)
 			defer cancel()
 			accepts, answers := m.exchange(ctx, t)
 			if answers {
--- a/internal/jvrelay/crashes.go
+++ b/internal/jvrelay/crashes.go
@@ -109,7 +109,7 @@
 // each attempt.
 func (d *crashDetector) probe(ctx context.Context, a *activeRequest, t jvconfig.Target, timeout time.Duration) evidence {
 	if a.probed == "" {
-		probeCtx, cancel := context.WithTimeout(ctx, timeout)
+		probeCtx, cancel := d.options.Timer.WithTimeout(ctx, timeout)
 		defer cancel()
 		result := d.options.Sender.Probe(probeCtx, t)
 		if result == ProbeNoResponse && ctx.Err() != nil { // The attempt's own deadline ended the probe.
--- a/internal/jvrelay/refusing.go
+++ b/internal/jvrelay/refusing.go
@@ -16,7 +16,7 @@
 func (r *Relay) probeRefusing() {
 	for _, target := range r.targets.TakeProbes(maxProbes) {
 		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+			ctx, cancel := r.options.Timer.WithTimeout(context.Background(), probeTimeout)
 			defer cancel()
 			if r.options.Sender.Probe(ctx, target) != ProbeAccepted {
 				r.options.Reach.Failed(target.Name) // No request shows any more that the own link may be at fault.
--- a/internal/jvrelay/silence_test.go
+++ b/internal/jvrelay/silence_test.go
@@ -106,3 +106,17 @@
 		})
 	}
 }
+
+// TestLateProcessKeepsAttempt guards against attempts that are canceled and repeated since this process is late: the
+// target's response waits in its socket when the time for silence has passed.
+func TestLateProcessKeepsAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sender := &lateSender{delay: lateDelay}
+		s := newFixtureWith(t, func(o *Options) {
+			o.Sender = sender
+			o.Timer.Turns(func(done func()) { time.AfterFunc(time.Second, done) }) // The process is a second late.
+		})
+		require.Equal(t, "200 length 4: late", s.serve(t.Context(), t, "safe", nil))
+		require.Equal(t, 1, sender.sent)
+	})
+}
--- a/internal/jvrelay/stall.go
+++ b/internal/jvrelay/stall.go
@@ -86,8 +86,11 @@
 	stopped bool
 }
 
-// fire cancels the attempt, or checks again later if that would not help.
-func (s *stallAlarm) fire() {
+// fire checks whether the target is silent once the process has handled what has arrived.
+func (s *stallAlarm) fire() { s.timer.AfterTurn(s.check) }
+
+// check cancels the attempt, or checks again later if that would not help.
+func (s *stallAlarm) check() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
--- a/internal/jvtimer/timeout.go
+++ b/internal/jvtimer/timeout.go
@@ -20,7 +20,7 @@
 	end := func() { cancel(context.DeadlineExceeded) }
 	alarm := s.Alarm(d, func() {
 		// The first turn hands the response to the goroutine that reads it, the second lets that one use it.
-		s.nextTurn(func() { s.nextTurn(end) })
+		s.AfterTurn(func() { s.AfterTurn(end) })
 	})
 	return ctx, func() {
 		alarm.Stop()
@@ -31,12 +31,12 @@
 // AwaitTurn waits until the process has reached the events that are ready now.
 func (s *Service) AwaitTurn() {
 	reached := make(chan struct{})
-	s.nextTurn(func() { close(reached) })
+	s.AfterTurn(func() { close(reached) })
 	<-reached
 }
 
-// nextTurn calls done after a turn, or at once if there are none.
-func (s *Service) nextTurn(done func()) {
+// AfterTurn calls done once the process has reached the events that are ready now, or at once without a measurement.
+func (s *Service) AfterTurn(done func()) {
 	s.mu.Lock()
 	turn := s.turn
 	s.mu.Unlock()
