--- a/internal/jvpressure/gate.go
+++ b/internal/jvpressure/gate.go
@@ -69,8 +69,8 @@
 	requests *Room
 	// memoryFull is true while too little memory is left.
 	memoryFull atomic.Bool
-	// closed counts the connections that were closed unread, fullAt is when the last one was, in nanoseconds since
-	// startedAt.
+	// closed counts the connections that were closed unread, fullAt is when the last one of a caller was, in nanoseconds
+	// since startedAt.
 	closed    atomic.Int64
 	fullAt    atomic.Int64
 	startedAt time.Time
@@ -172,7 +172,9 @@
 	over := float64(g.Delay())/float64(g.options.MaxDelay) - dropDelay
 	if over > 0 && g.options.Random() < over/dropDelay || g.memoryFull.Load() || !r.Take() {
 		g.closed.Add(1)
-		g.fullAt.Store(int64(g.options.Timer.Since(g.startedAt)))
+		if r == g.callers {
+			g.fullAt.Store(int64(g.options.Timer.Since(g.startedAt)))
+		}
 		return false
 	}
 	return true
