--- a/internal/jvpressure/monitor.go
+++ b/internal/jvpressure/monitor.go
@@ -107,17 +107,18 @@
 	if to-from < minStall {
 		return
 	}
-	kept := m.stalls[:0]
-	for _, s := range m.stalls {
+	all := m.stalls
+	m.stalls = all[:0]
+	for _, s := range all {
 		switch {
 		case to-s.to > stallMemory:
 		case s.to < from:
-			kept = append(kept, s)
+			m.stalls = append(m.stalls, s)
 		default:
 			from = min(from, s.from)
 		}
 	}
-	m.stalls = append(kept, stall{from: from, to: to})
+	m.stalls = append(m.stalls, stall{from: from, to: to})
 }
 
 // Delay returns the shortest delay with which events were handled in the last standingTime: what each event has to
--- a/internal/jvreset/conn.go
+++ b/internal/jvreset/conn.go
@@ -167,6 +167,9 @@
 
 // Left reports whether the caller has closed its side of the connection and nothing is left to read.
 func (c *Conn) Left() bool {
+	if c == nil {
+		return false
+	}
 	left := false
 	c.control(func(fd int) {
 		var first [1]byte
