--- a/internal/jvpressure/error.go
+++ b/internal/jvpressure/error.go
@@ -22,7 +22,7 @@
 	// KindRefused means that the other system or the network ended the call.
 	KindRefused Kind = "refused"
 
-	// KindStale means that the configuration is too old, since this process did not read it.
+	// KindStale means that the configuration or the list of targets is too old, since this process did not read it.
 	KindStale Kind = "stale"
 	// KindRequests means that as many requests are in progress as the machine bears.
 	KindRequests Kind = "requests"
--- a/internal/jvpressure/gate.go
+++ b/internal/jvpressure/gate.go
@@ -44,19 +44,22 @@
 	// Delay returns the delay of events, Memory the bytes of memory in use.
 	Delay  func() time.Duration
 	Memory func() int64
-	// Fence is the fence of the configuration.
-	Fence *Fence
+	// Config and Targets are the fences of the configuration and of the list of targets.
+	Config  *Fence
+	Targets *Fence
 }
 
 // DefaultGateOptions returns options of a gate without limits.
 func DefaultGateOptions() GateOptions {
+	unbounded := NewFence(FenceOptions{Uptime: func() time.Duration { return 0 }})
 	return GateOptions{
 		MaxDelay: 120 * time.Millisecond, // As much as events of a stream may be late.
 		Logger:   logr.Discard(),
 		Random:   func() float64 { return 0 },
 		Delay:    func() time.Duration { return 0 },
 		Memory:   func() int64 { return 0 },
-		Fence:    NewFence(FenceOptions{Uptime: func() time.Duration { return 0 }}),
+		Config:   unbounded,
+		Targets:  unbounded,
 	}
 }
 
@@ -132,7 +135,7 @@
 func (g *Gate) Delay() time.Duration { return g.options.Delay() }
 
 // ConfigAge returns the age of the configuration, and false if none was read.
-func (g *Gate) ConfigAge() (time.Duration, bool) { return g.options.Fence.Age() }
+func (g *Gate) ConfigAge() (time.Duration, bool) { return g.options.Config.Age() }
 
 // WithQueue makes the gate count the time for which callers' connections wait to be accepted, and returns it.
 func (g *Gate) WithQueue(wait func() time.Duration) *Gate {
@@ -207,9 +210,12 @@
 	return nil
 }
 
-// Stale returns a refusal if the configuration is too old for a reason of this process.
+// late reports whether the configuration or the list of targets is too old for a reason of this process.
+func (g *Gate) late() bool { return g.options.Config.Late() || g.options.Targets.Late() }
+
+// Stale returns a refusal if the configuration or the list of targets is too old for a reason of this process.
 func (g *Gate) Stale() *Refusal {
-	if !g.options.Fence.Late() {
+	if !g.late() {
 		return nil
 	}
 	return g.refuse(KindStale, 0)
@@ -263,8 +269,8 @@
 func (g *Gate) Ready() (bool, string) {
 	fullAt := g.fullAt.Load()
 	switch {
-	case g.options.Fence.Late():
-		return false, "configuration out of date"
+	case g.late():
+		return false, "configuration or targets out of date"
 	case fullAt > 0 && g.options.Timer.Since(g.startedAt)-time.Duration(fullAt) < fullTime:
 		return false, "no place for connections"
 	}
@@ -289,9 +295,9 @@
 	g.shares.update(elapsed, g.part)
 }
 
-// report writes a log line if something was refused or the configuration is out of date.
+// report writes a log line if something was refused, or what is known is out of date.
 func (g *Gate) report() {
-	late := g.options.Fence.Late()
+	late := g.late()
 	age, _ := g.ConfigAge()
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/jvpressure/gate_test.go
+++ b/internal/jvpressure/gate_test.go
@@ -164,6 +164,35 @@
 	})
 }
 
+// TestOldLists guards against a router that was paused and sends requests to targets that have left meanwhile, once it has
+// read the configuration.
+func TestOldLists(t *testing.T) {
+	now := time.Duration(0)
+	fence := func() *Fence {
+		return NewFence(FenceOptions{
+			Uptime: func() time.Duration { return now }, MaxAge: time.Second, Stalled: func(since time.Duration) time.Duration { return now - since },
+		})
+	}
+	synctest.Test(t, func(t *testing.T) {
+		timer := jvtimer.NewService()
+		defer timer.Close()
+		o := DefaultGateOptions()
+		o.Timer, o.Config, o.Targets = timer, fence(), fence()
+		g := NewGate(o)
+		read := func(f *Fence) { f.Record(Read{StartedAt: now, EndedAt: now}) }
+		read(o.Config)
+		read(o.Targets)
+		require.Nil(t, g.Enter(Request{}))
+		now = 3 * time.Second
+		read(o.Config)
+		require.Equal(t, KindStale, g.Enter(Request{}).Kind)
+		ready, _ := g.Ready()
+		require.False(t, ready)
+		read(o.Targets)
+		require.Nil(t, g.Enter(Request{}))
+	})
+}
+
 // TestGateReasons checks the reasons for refusals, and that what was taken is returned.
 func TestGateReasons(t *testing.T) {
 	withGate(t, Limits{Requests: 1, Callers: 2, MemoryBytes: 100}, func(g *pressedGate) {
--- a/internal/jvrelay/relay.go
+++ b/internal/jvrelay/relay.go
@@ -191,7 +191,7 @@
 
 // refusalMessages are the messages to callers of requests that are refused unread.
 var refusalMessages = map[jvpressure.Kind]string{
-	jvpressure.KindStale:     "this router's configuration is out of date",
+	jvpressure.KindStale:     "this router's configuration or list of targets is out of date",
 	jvpressure.KindLate:      "the request has waited longer than its caller does",
 	jvpressure.KindProcessor: "this router has more requests than it can serve",
 	jvpressure.KindMemory:    "this router has too little memory left",
