--- a/internal/jvpressure/gate_test.go
+++ b/internal/jvpressure/gate_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -62,11 +63,11 @@
 	require.True(t, math.IsInf(fill(1, nil), 1))
 }
 
-// pressedGate is a gate with a delay that the test sets.
+// pressedGate is a gate with a delay and a use of memory that the test sets.
 type pressedGate struct {
 	*Gate
-	delay  time.Duration
-	memory int64
+	late atomic.Int64
+	used atomic.Int64
 	// useless are flows whose requests are refused later.
 	useless map[Flow]bool
 }
@@ -80,8 +81,8 @@
 		o := DefaultGateOptions()
 		o.Random = rand.New(rand.NewPCG(1, 2)).Float64
 		o.Limits, o.Timer = limits, timer
-		o.Delay = func() time.Duration { return g.delay }
-		o.Memory = func() int64 { return g.memory }
+		o.Delay = func() time.Duration { return time.Duration(g.late.Load()) }
+		o.Memory = g.used.Load
 		g.Gate = NewGate(o)
 		run(g)
 	})
@@ -125,21 +126,21 @@
 		for f, share := range g.offer(2*time.Second, rates) {
 			require.InDelta(t, 1, share, 0, "%v without pressure", f)
 		}
-		g.delay = 75 * time.Millisecond // Half of the requests can be admitted.
+		g.late.Store(int64(75 * time.Millisecond)) // Half of the requests can be admitted.
 		got := g.offer(4*time.Second, rates)
 		require.InDelta(t, 1, got[calm], 0.05)
 		require.InDelta(t, 1, got[urgent], 0.05, "a workspace that wants less than its part")
 		require.InDelta(t, 0.36, got[hot], 0.08)
-		g.delay = 107 * time.Millisecond // Some 15%: 150 a second, of which hot and both want 65 each.
+		g.late.Store(int64(107 * time.Millisecond)) // Some 15%: 150 a second, of which hot and both want 65 each.
 		got = g.offer(4*time.Second, rates)
 		require.Greater(t, got[calm], 0.9)
 		require.Greater(t, got[urgent], 2*got[slow], "urgent requests first")
 		require.Greater(t, got[slow], 0.05, "and others still")
-		g.delay = 130 * time.Millisecond
+		g.late.Store(int64(130 * time.Millisecond))
 		for f, share := range g.offer(time.Second, rates) {
 			require.Zero(t, share, "%v, all events are late", f)
 		}
-		g.delay = 0
+		g.late.Store(int64(0))
 		for f, share := range g.offer(2*time.Second, rates) {
 			require.InDelta(t, 1, share, 0, "%v after the pressure", f)
 		}
@@ -153,7 +154,7 @@
 	rates := map[Flow]int{spent: 900, calm: 100}
 	withGate(t, Limits{}, func(g *pressedGate) {
 		g.useless = map[Flow]bool{spent: true}
-		g.delay = 75 * time.Millisecond // Half of the requests can be admitted.
+		g.late.Store(int64(75 * time.Millisecond)) // Half of the requests can be admitted.
 		got := g.offer(4*time.Second, rates)
 		require.InDelta(t, 1, got[calm], 0.05)
 		require.InDelta(t, usefulRate/900., got[spent], 0.01, "enough to see whether they are still refused")
@@ -167,10 +168,11 @@
 // TestOldLists guards against a router that was paused and sends requests to targets that have left meanwhile, once it has
 // read the configuration.
 func TestOldLists(t *testing.T) {
-	now := time.Duration(0)
+	var uptime atomic.Int64
+	now := func() time.Duration { return time.Duration(uptime.Load()) }
 	fence := func() *Fence {
 		return NewFence(FenceOptions{
-			Uptime: func() time.Duration { return now }, MaxAge: time.Second, Stalled: func(since time.Duration) time.Duration { return now - since },
+			Uptime: now, MaxAge: time.Second, Stalled: func(since time.Duration) time.Duration { return now() - since },
 		})
 	}
 	synctest.Test(t, func(t *testing.T) {
@@ -179,11 +181,11 @@
 		o := DefaultGateOptions()
 		o.Timer, o.Config, o.Targets = timer, fence(), fence()
 		g := NewGate(o)
-		read := func(f *Fence) { f.Record(Read{StartedAt: now, EndedAt: now}) }
+		read := func(f *Fence) { f.Record(Read{StartedAt: now(), EndedAt: now()}) }
 		read(o.Config)
 		read(o.Targets)
 		require.Nil(t, g.Enter(Request{}))
-		now = 3 * time.Second
+		uptime.Store(int64(3 * time.Second))
 		read(o.Config)
 		require.Equal(t, KindStale, g.Enter(Request{}).Kind)
 		ready, _ := g.Ready()
@@ -201,16 +203,16 @@
 		g.Leave(Flow{}, false)
 		require.True(t, g.EnterOther())
 		g.LeaveOther()
-		g.delay = 30 * time.Millisecond
+		g.late.Store(int64(30 * time.Millisecond))
 		require.Equal(t, KindLate, g.Enter(Request{Wait: 20 * time.Millisecond}).Kind)
-		g.delay = 60 * time.Millisecond
+		g.late.Store(int64(60 * time.Millisecond))
 		require.False(t, g.EnterOther(), "requests of other routers come last")
-		g.delay = 0
-		g.memory = 101
+		g.late.Store(int64(0))
+		g.used.Store(101)
 		time.Sleep(2 * updateInterval)
 		require.Equal(t, KindMemory, g.Enter(Request{}).Kind)
 		require.False(t, g.Accept(g.Callers()))
-		g.memory = 100
+		g.used.Store(100)
 		time.Sleep(2 * updateInterval)
 		require.True(t, g.Accept(g.Callers()))
 		require.True(t, g.Accept(g.Callers()))
@@ -222,7 +224,7 @@
 		time.Sleep(2 * fullTime)
 		ready, _ = g.Ready()
 		require.True(t, ready)
-		g.delay = time.Second
+		g.late.Store(int64(time.Second))
 		require.False(t, g.Accept(g.Callers()), "closing costs less than refusing")
 		require.Equal(t, int64(3), g.Counts().Closed)
 		require.Equal(t, map[Kind]int64{KindRequests: 1, KindLate: 1, KindMemory: 1}, g.Counts().Refused)
