--- a/internal/jvpressure/gate_test.go
+++ b/internal/jvpressure/gate_test.go
@@ -32,7 +32,10 @@
 		require.LessOrEqual(r, float64(l.Requests), 1000*m.Processors)
 		require.Positive(r, min(l.Callers, l.Routers, l.Requests, l.IdleTargets))
 	})
-	l, err := Machine{}.Divide()
+	l, err := Machine{MemoryBytes: 1 << 20}.Divide()
+	require.NoError(t, err)
+	require.EqualValues(t, minMemoryBytes, l.MemoryBytes, "a process that has no request is not full")
+	l, err = Machine{}.Divide()
 	require.NoError(t, err)
 	require.Equal(t, Limits{}, l)
 	for _, m := range []Machine{{Descriptors: MinDescriptors - 1}, {Descriptors: -1}, {MemoryBytes: -1}, {Processors: -1}} {
--- a/internal/jvpressure/limits.go
+++ b/internal/jvpressure/limits.go
@@ -50,6 +50,8 @@
 	// memoryShare is the share of the memory from which on nothing more is admitted. The rest is for what requests in
 	// progress may still need, and for the buffers of the system's sockets, which the process does not see.
 	memoryShare = 0.8
+	// minMemoryBytes is the least memory at which admission ends: a process takes about 20 MB without any request.
+	minMemoryBytes = 32 << 20
 )
 
 // Divide returns the limits for a machine, or an error of KindDescriptors if it has too few of them.
@@ -68,7 +70,7 @@
 	if m.MemoryBytes > 0 {
 		l.Requests = smaller(l.Requests, share(requestMemory, m.MemoryBytes)/requestBytes)
 		l.Callers = smaller(l.Callers, share(connectionMemory, m.MemoryBytes)/connectionBytes)
-		l.MemoryBytes = share(memoryShare, m.MemoryBytes)
+		l.MemoryBytes = max(minMemoryBytes, share(memoryShare, m.MemoryBytes))
 	}
 	if m.Processors > 0 {
 		l.Requests = smaller(l.Requests, int64(processorRequests*m.Processors))
