jvfleet: a stopping router reports the copies of bills that it holds

A witness holds the latest bills of another router and reports them when that has been missing for 10 s.

The report of a planned stop now includes the copies; the log counts each bill once. TestStopReportsCopiesOfBills fails before (2 of 3 requests billed) and passes.

--- a/internal/jvfleet/stop.go
+++ b/internal/jvfleet/stop.go
@@ -99,7 +99,8 @@
 }
 
 // leave reports everything and closes the origin in one batch. Tokens that are still reserved
-// count as spent, since they may be.
+// count as spent, since they may be. The copies of other routers' bills are part of the report: their
+// holders may have been killed shortly before.
 func (rt *Router) leave(ctx context.Context) {
 	s := rt.current()
 	if !rt.hasJoined(s) {
@@ -111,7 +112,11 @@
 	}
 	r := s.report()
 	r.Bills = jvrecord.GroupBills(rt.bills.list())
-	_, err := rt.journal.Submit(ctx, s.origin, jvrecord.Record{Report: r}, jvrecord.Record{Leave: &jvrecord.Leave{}})
+	records := []jvrecord.Record{{Report: r}}
+	if copies := rt.holders.overdueBills(rt.options.Timer.Now(), 0); len(copies) > 0 {
+		records = append(records, jvrecord.Record{Report: &jvrecord.Report{Bills: jvrecord.GroupBills(copies)}})
+	}
+	_, err := rt.journal.Submit(ctx, s.origin, append(records, jvrecord.Record{Leave: &jvrecord.Leave{}})...)
 	if err != nil {
 		rt.options.Logger.Info("grants not returned", "cause", err.Error())
 		return
--- a/internal/jvfleet/stop_test.go
+++ b/internal/jvfleet/stop_test.go
@@ -60,3 +60,24 @@
 		})
 	}
 }
+
+// TestStopReportsCopiesOfBills guards against bills that are lost when a router is killed and the witnesses that have the
+// copies of its latest ones are stopped before they count it as missing.
+func TestStopReportsCopiesOfBills(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSimulatedFleet(t, nil)
+		defer s.close()
+		time.Sleep(5 * time.Second)
+		const requests = 3
+		for n := range requests {
+			r := s.chat("a1", fmt.Sprint("key", n), "text")
+			require.True(t, r.served(), "%+v", r)
+		}
+		s.sim.Kill("a1")
+		s.sim.Router("a2").Stop(context.Background())
+		s.sim.Router("b1").Stop(context.Background())
+		time.Sleep(20 * time.Second)
+		require.Equal(t, int64(requests), s.billedRequests())
+		require.Empty(t, s.violation())
+	})
+}
