jvfleet: a bill that no witness acknowledges goes to the log first

The caller got the end of its answer although no witness had a copy of the bill, for as long as the router had not named others for witnesses that were killed or replaced.

Such a bill is now appended to the log before the end of the answer, if the log was reachable lately, for PeerTimeout at most. TestBillsWithoutWitnesses fails before (0 of 1 billed) and passes; the tests of jvfleet pass.

--- a/internal/jvfleet/bills.go
+++ b/internal/jvfleet/bills.go
@@ -24,7 +24,7 @@
 }
 
 // unreplicatedBill is a bill that has not been sent to a witness yet; done is closed after it was
-// sent, whether or not a witness acknowledged it.
+// sent, whether or not a witness or the log acknowledged it.
 type unreplicatedBill struct {
 	bill jvrecord.Bill
 	done chan struct{}
@@ -38,8 +38,8 @@
 	return &billTable{bills: map[jvledger.BillID]jvrecord.Bill{}, wake: make(chan struct{}, 1)}
 }
 
-// add adds a bill and returns a channel that is closed when a witness has the bill too, or when
-// no witness could be reached.
+// add adds a bill and returns a channel that is closed when a witness or the log has the bill too, or when
+// none of them could be reached.
 func (b *billTable) add(bill jvrecord.Bill) <-chan struct{} {
 	done := make(chan struct{})
 	b.mu.Lock()
@@ -92,7 +92,7 @@
 	return len(b.bills)
 }
 
-// replicateBills sends new bills to a witness. A batch holds all bills that were added while the
+// replicateBills sends new bills to a witness, or to the log if no witness acknowledges them. A batch holds all bills that were added while the
 // previous batch was being sent.
 func (rt *Router) replicateBills() {
 	for {
@@ -109,7 +109,7 @@
 		for i, b := range unreplicated {
 			bills[i] = b.bill
 		}
-		if !rt.sendBills(bills) {
+		if !rt.sendBills(bills) && !rt.logBills(bills) {
 			rt.meter.Unreplicated.Add(len(bills))
 		}
 		for _, b := range unreplicated {
@@ -132,6 +132,19 @@
 	return false
 }
 
+// logBills appends bills to the log at once, and reports whether it has them. The log may be away as well: then the caller
+// waits no longer.
+func (rt *Router) logBills(bills []jvrecord.Bill) bool {
+	if !rt.journal.Reachable(rt.options.Timing.UnreachableAfter) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(rt.ctx, rt.options.Timing.PeerTimeout)
+	defer cancel()
+	record := jvrecord.Record{Report: &jvrecord.Report{Bills: jvrecord.GroupBills(bills)}}
+	verdicts, err := rt.journal.Submit(ctx, rt.current().origin, record)
+	return err == nil && verdicts[0].Accepted()
+}
+
 // report appends the spent and returned tokens, loans and bills that the log does not have yet. It
 // also evicts the holders whose origins are no longer open.
 func (rt *Router) report() {
--- a/internal/jvfleet/stop_test.go
+++ b/internal/jvfleet/stop_test.go
@@ -81,3 +81,22 @@
 		require.Empty(t, s.violation())
 	})
 }
+
+// TestBillsWithoutWitnesses guards against bills that are lost when a router is killed soon after its witnesses were, before
+// it has named others.
+func TestBillsWithoutWitnesses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSimulatedFleet(t, nil)
+		defer s.close()
+		time.Sleep(5 * time.Second)
+		for _, v := range []string{"a2", "b1", "b2"} {
+			s.sim.Kill(v)
+		}
+		r := s.chat("a1", "key", "text")
+		require.True(t, r.served(), "%+v", r)
+		s.sim.Kill("a1")
+		time.Sleep(20 * time.Second)
+		require.Equal(t, int64(1), s.billedRequests())
+		require.Empty(t, s.violation())
+	})
+}
