--- a/cmd/jvload/demo.go
+++ b/cmd/jvload/demo.go
@@ -125,14 +125,12 @@
 	return nil
 }
 
-// sendLoad sends a mix of jobs while a target is drained, a router is stopped gracefully and
-// another one is killed.
-func (d *demo) sendLoad(ctx context.Context) error {
-	before := len(d.summary.Results())
-	load := &jvcaller.Load{
+// load returns a load of a mix of jobs.
+func (d *demo) load(duration time.Duration) *jvcaller.Load {
+	return &jvcaller.Load{
 		Caller:   d.caller(6),
 		Rate:     d.rate,
-		Duration: 12 * time.Second,
+		Duration: duration,
 		Mix: map[jvcaller.Kind]float64{
 			jvcaller.KindDraft: 1, jvcaller.KindQuick: 3, jvcaller.KindChat: 3,
 			jvcaller.KindLookup: 2, jvcaller.KindBooking: 1, jvcaller.KindCharge: 1,
@@ -145,6 +143,13 @@
 		Seed:      1,
 		KeyPrefix: "load-",
 	}
+}
+
+// sendLoad sends a mix of jobs while a target is drained, a router is stopped gracefully and
+// another one is killed.
+func (d *demo) sendLoad(ctx context.Context) error {
+	before := len(d.summary.Results())
+	load := d.load(12 * time.Second)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/internal/jvharness/access.go
+++ b/internal/jvharness/access.go
@@ -43,6 +43,19 @@
 	return list
 }
 
+// RouterNames returns the names of the routers on the VM list, in list order.
+func (c *Cluster) RouterNames() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var list []string
+	for _, v := range c.vms {
+		if v.Role == jvplatform.RoleEntry {
+			list = append(list, v.Name)
+		}
+	}
+	return list
+}
+
 // Process returns the process that was started under name, or nil.
 func (c *Cluster) Process(name string) *Process {
 	c.mu.Lock()
--- a/internal/jvharness/cluster.go
+++ b/internal/jvharness/cluster.go
@@ -102,10 +102,9 @@
 	return "--zones=" + strings.Join(parts, ",")
 }
 
-// startProcess starts a program from the directory Options.Bin and registers the process under
-// name.
-func (c *Cluster) startProcess(name, program string, arguments ...string) error {
-	p, err := start(c.Options.Dir, name, filepath.Join(c.Options.Bin, program), arguments...)
+// startProcess starts a program from a directory and registers the process under name.
+func (c *Cluster) startProcess(name, bin, program string, arguments ...string) error {
+	p, err := start(c.Options.Dir, name, filepath.Join(bin, program), arguments...)
 	if err != nil {
 		return err
 	}
@@ -119,7 +118,7 @@
 	platform := fmt.Sprintf("127.0.0.1:%d", c.basePort+portPlatform)
 	c.addresses["platform"] = platform
 	flags := append([]string{"platform", "--listen=" + platform, c.zonesFlag()}, c.Options.PlatformFlags...)
-	if err := c.startProcess("platform", "jvstand", flags...); err != nil {
+	if err := c.startProcess("platform", c.Options.Bin, "jvstand", flags...); err != nil {
 		return err
 	}
 	for z, zone := range c.Options.Zones {
@@ -149,7 +148,7 @@
 		part, flags = "service", c.Options.ServiceFlags
 	}
 	arguments := append([]string{part, "--name=" + name, "--listen=" + c.addresses[name], c.zonesFlag()}, flags...)
-	if err := c.startProcess(name, "jvstand", arguments...); err != nil {
+	if err := c.startProcess(name, c.Options.Bin, "jvstand", arguments...); err != nil {
 		return err
 	}
 	return c.waitResponse("http://" + c.addresses[name] + "/admin/counts")
@@ -193,13 +192,37 @@
 		return errors.Wrap(err, "write settings")
 	}
 	c.addresses[name] = address(portCallers)
-	if err := c.startProcess(name, "jvrouter", "run", c.filePath(name+".json")); err != nil {
+	bin := c.Options.RouterBin
+	if bin == "" {
+		bin = c.Options.Bin
+	}
+	if err := c.runRouter(name, bin); err != nil {
 		return err
 	}
 	vm := jvplatform.VM{Name: name, Zone: zone, Role: jvplatform.RoleEntry, State: jvplatform.VMLive, Address: address(portPeers)}
 	return c.setVM(vm)
 }
 
+// runRouter starts a router's process with the settings that it has.
+func (c *Cluster) runRouter(name, bin string) error {
+	return c.startProcess(name, bin, "jvrouter", "run", c.filePath(name+".json"))
+}
+
+// ReplaceRouter ends a router's process, by a stop or a kill, starts the program in the directory bin in its place, and
+// waits until that is ready, until ctx ends at the latest.
+func (c *Cluster) ReplaceRouter(ctx context.Context, name, bin string, kill bool) error {
+	p := c.Process(name)
+	if kill {
+		p.Kill()
+	} else if !p.Stop(startTimeout) {
+		return errors.Errorf("router %s did not stop", name)
+	}
+	if err := c.runRouter(name, bin); err != nil {
+		return err
+	}
+	return c.WaitReady(ctx)
+}
+
 func (c *Cluster) platformSettings() map[string]any {
 	settings := map[string]any{"url": c.PlatformURL(), "stream": "fleet"}
 	for k, v := range c.Options.PlatformSettings {
--- a/internal/jvharness/options.go
+++ b/internal/jvharness/options.go
@@ -6,9 +6,11 @@
 
 // Options are the size and the settings of a cluster.
 type Options struct {
-	// Bin is the directory of the programs, Dir that of settings and logs.
-	Bin string
-	Dir string
+	// Bin is the directory of the programs, RouterBin that of the routers' program if it is another one, Dir that of
+	// settings and logs.
+	Bin       string
+	RouterBin string
+	Dir       string
 	// Zones are the names of the availability zones. Routers, Engines and Services are the
 	// numbers of each in one zone.
 	Zones    []string
