jvpressure: the listener's queue refuses three quarters of the requests at most

The limit of nine tenths rested on an estimate: refusing a request were a tenth of serving one.

With a third, three quarters leave half of the processor for requests.

--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,7 @@
 # No figure makes it fail.
 bench: build
 	@cd internal && $(GO) test -run '^$$' -bench . -benchtime 1s ./jvescrow ./jvledger ./jvtarget ./jvflight
+	@cd platform && $(GO) test -run '^$$' -bench BenchmarkRefusal -benchtime 1x .
 	@$(BIN)/jvload bench --bin $(BIN) --out out/bench
 
 # Measures the slopes of docs/CAPACITY.md and writes docs/CAPACITY-TABLE.md and docs/capacity.svg.
--- a/internal/jvpressure/gate.go
+++ b/internal/jvpressure/gate.go
@@ -17,8 +17,9 @@
 	// lowDelayShare is the share of MaxDelay from which on requests are refused.
 	lowDelayShare = 0.25
 	// maxQueueExcess is the largest part of the requests that is refused since connections wait to be accepted. As refusing
-	// takes about a tenth of serving, half of the processor is left for requests, however many callers there are.
-	maxQueueExcess = 0.9
+	// takes about a third of serving (BenchmarkRefusal), half of the processor is left for requests, however many callers
+	// there are.
+	maxQueueExcess = 0.75
 	// dropDelay is the delay, as a multiple of MaxDelay, from which on connections are closed unread: refusing their
 	// requests takes more than the process has.
 	dropDelay = 4
