--- a/cmd/jvload/e2e_test.go
+++ b/cmd/jvload/e2e_test.go
@@ -262,3 +262,18 @@
 	require.True(t, c.Process("a1").Wait(30*time.Second), "the router did not exit in time")
 	requireGuarantees(t, c, results)
 }
+
+// TestMachineLimits checks that a fleet whose settings name the resources of its VMs serves, and that the limits are in force.
+func TestMachineLimits(t *testing.T) {
+	c := startFleet(t, func(o *jvharness.Options) {
+		o.Limits = map[string]int64{"descriptors": 400, "memory": 256, "cores": 4000}
+	})
+	results := sendAll(newCaller(c, 4), append(chatJobs("limits", 20), bookingJobs("limits", 20, 1)...))
+	for _, r := range results {
+		require.True(t, r.Served(), "%+v", r)
+	}
+	requireGuarantees(t, c, results)
+	log, err := os.ReadFile(c.Process("a1").LogPath)
+	require.NoError(t, err)
+	require.Contains(t, string(log), `"msg":"limits"`)
+}
--- a/cmd/jvrouter/run.go
+++ b/cmd/jvrouter/run.go
@@ -21,6 +21,7 @@
 	"github.com/jasminevale/jasminevale/internal/jvlog"
 	"github.com/jasminevale/jasminevale/internal/jvpeer"
 	"github.com/jasminevale/jasminevale/internal/jvplatform"
+	"github.com/jasminevale/jasminevale/internal/jvpressure"
 	"github.com/jasminevale/jasminevale/internal/jvsetting"
 	"github.com/jasminevale/jasminevale/internal/jvtimer"
 	"github.com/jasminevale/jasminevale/internal/jvtls"
@@ -54,7 +55,11 @@
 	}
 	router := jvfleet.NewRouter(options)
 	router.RegisterGauges()
-	ports, err := openPorts(settings, strings.TrimSpace(string(secret)), listeners, router, timer, logger)
+	gate, err := newGate(settings, timer, options.Random.Float, logger)
+	if err != nil {
+		return err
+	}
+	ports, err := openPorts(settings, strings.TrimSpace(string(secret)), listeners, router, gate, timer, logger)
 	if err != nil {
 		return err
 	}
@@ -151,6 +156,26 @@
 	return o, nil
 }
 
+// newGate returns the gate that admits callers' requests, by the limits of the VM and, if its processors are known, by the
+// delay of events.
+func newGate(s jvsetting.Router, timer *jvtimer.Service, random func() float64, logger logr.Logger) (*jvpressure.Gate, error) {
+	limits, err := s.Machine().Divide()
+	if err != nil {
+		return nil, err
+	}
+	o := jvpressure.DefaultGateOptions()
+	o.Limits, o.Timer, o.Random, o.Logger, o.Memory = limits, timer, random, logger, jvpressure.Memory
+	if s.Limits.Cores > 0 {
+		queue, err := jvpressure.NewPoller()
+		if err != nil {
+			return nil, err
+		}
+		o.Delay = jvpressure.NewMonitor(jvpressure.MonitorOptions{Timer: timer, Uptime: timer.Uptime, Queue: queue}).Delay // Until the process ends.
+	}
+	logger.Info("limits", "callers", limits.Callers, "requests", limits.Requests, "memory", limits.MemoryBytes>>20)
+	return jvpressure.NewGate(o), nil
+}
+
 // ports are the servers of a router's three ports: for callers, operators and peers.
 type ports struct {
 	servers []*jvedge.Server
@@ -158,7 +183,7 @@
 	failed chan error
 }
 
-func openPorts(s jvsetting.Router, secret string, listeners []net.Listener, router *jvfleet.Router, timer *jvtimer.Service, logger logr.Logger) (*ports, error) {
+func openPorts(s jvsetting.Router, secret string, listeners []net.Listener, router *jvfleet.Router, gate *jvpressure.Gate, timer *jvtimer.Service, logger logr.Logger) (*ports, error) {
 	limits := jvedge.DefaultLimits()
 	if s.Limits.MaxBodyBytes > 0 {
 		limits.MaxBodyBytes = s.Limits.MaxBodyBytes
@@ -166,17 +191,28 @@
 	if s.Limits.MaxConnections > 0 {
 		limits.MaxConnections = int(s.Limits.MaxConnections)
 	}
+	callerLimits := limits
+	if n := gate.Callers().Limit(); n > 0 {
+		callerLimits.MaxConnections = min(callerLimits.MaxConnections, int(n))
+	}
 	stop := func() { go router.Stop(context.Background()) }
 	peers := http.NewServeMux()
 	peers.Handle("/peer", jvpeer.NewServer(secret, router.HandlePeer, logger.WithName("peers")))
 	handlers := []http.Handler{
-		jvedge.AnnounceClose(router.Stopping, jvedge.CallersHandler(jvedge.NewCallers(router, limits), logger.WithName("callers"))),
+		jvedge.AnnounceClose(router.Stopping, jvedge.Admit(gate, func(key string) string {
+			w, _ := router.Catalog().Workspace(key)
+			return w.Name
+		}, logger.WithName("callers"), jvedge.CallersHandler(jvedge.NewCallers(router, limits), logger.WithName("callers")))),
 		jvedge.OperatorsHandler(jvedge.NewOperators(router, stop), logger.WithName("operators")),
 		peers,
 	}
 	p := &ports{failed: make(chan error, len(handlers))}
 	for i, port := range []jvsetting.Port{s.Callers, s.Operators, s.Peers.Port} {
-		server, err := openPort(port, listeners[i], handlers[i], limits, timer)
+		portLimits := limits
+		if i == 0 {
+			portLimits = callerLimits
+		}
+		server, err := openPort(port, listeners[i], handlers[i], portLimits, timer)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/jvedge/exchange.go
+++ b/internal/jvedge/exchange.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
 
 	"github.com/jasminevale/jasminevale/internal/jvend"
+	"github.com/jasminevale/jasminevale/internal/jvfleet"
 )
 
 // exchange is the HTTP request and response of one call of a service method. Goa's generated code
@@ -90,10 +92,10 @@
 		case r.URL.Path == "/v1/chat/completions" && r.Method == http.MethodPost:
 		case strings.HasPrefix(r.URL.Path, "/v1/services/") && isServiceMethod(r.Method) && strings.Count(r.URL.Path, "/") > 3:
 		case r.URL.Path == "/v1/chat/completions", strings.HasPrefix(r.URL.Path, "/v1/services/") && !isServiceMethod(r.Method):
-			writeProblem(w, http.StatusMethodNotAllowed, "the method "+printableMethod(r)+" does not belong to this path")
+			writeProblem(w, http.StatusMethodNotAllowed, jvfleet.ProblemMissing, "the method "+printableMethod(r)+" does not belong to this path", 0)
 			return
 		default:
-			writeProblem(w, http.StatusNotFound, "there is nothing at this path: use /v1/chat/completions or /v1/services/SERVICE/PATH")
+			writeProblem(w, http.StatusNotFound, jvfleet.ProblemMissing, "there is nothing at this path: use /v1/chat/completions or /v1/services/SERVICE/PATH", 0)
 			return
 		}
 		next.ServeHTTP(w, r)
@@ -116,10 +118,11 @@
 	return r.Method
 }
 
-// writeProblem writes the error response to a request that matches no route of the design.
-func writeProblem(w http.ResponseWriter, status int, message string) {
+// writeProblem writes the error response to a request that no service method handles; retryAfter is in seconds, 0 for
+// none.
+func writeProblem(w http.ResponseWriter, status int, name jvfleet.ProblemName, message string, retryAfter int) {
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Jv-Outcome", "notrun")
 	w.WriteHeader(status)
-	_, _ = w.Write([]byte(`{"name":"missing","message":` + strconv.Quote(message) + `,"outcome":"notrun","request":"","retry":0}` + "\n"))
+	_, _ = fmt.Fprintf(w, "{\"name\":%q,\"message\":%q,\"outcome\":\"notrun\",\"request\":\"\",\"retry\":%d}\n", name, message, retryAfter)
 }
--- a/internal/jvsetting/router.go
+++ b/internal/jvsetting/router.go
@@ -8,6 +8,7 @@
 
 	"github.com/jasminevale/jasminevale/internal/jvconfig"
 	"github.com/jasminevale/jasminevale/internal/jvfault"
+	"github.com/jasminevale/jasminevale/internal/jvpressure"
 	"github.com/jasminevale/jasminevale/internal/jvtls"
 )
 
@@ -75,6 +76,11 @@
 	MaxConnections int64 `json:"connections,omitempty"`
 	// MaxRequests limits the requests that run at once.
 	MaxRequests int64 `json:"requests,omitempty"`
+	// Descriptors is the number of descriptors that the process may have open, MemoryMB the memory of the VM in MB, and Cores
+	// its processors in thousandths of one. From them follow further limits of connections and requests.
+	Descriptors int64 `json:"descriptors,omitempty"`
+	MemoryMB    int64 `json:"memory,omitempty"`
+	Cores       int64 `json:"cores,omitempty"`
 	// StallSeconds is the longest time that an engine may send nothing within an answer.
 	StallSeconds int64 `json:"stall,omitempty"`
 	// StopSeconds is the longest time that a planned stop waits for requests in progress.
@@ -157,6 +163,12 @@
 	p.CheckRange("limits.body", r.Limits.MaxBodyBytes, 0, 1<<30)
 	p.CheckRange("limits.connections", r.Limits.MaxConnections, 0, 1<<20)
 	p.CheckRange("limits.requests", r.Limits.MaxRequests, 1, 1<<16)
+	p.CheckRange("limits.descriptors", r.Limits.Descriptors, 0, 1<<20)
+	p.CheckRange("limits.memory", r.Limits.MemoryMB, 0, 1<<24)
+	p.CheckRange("limits.cores", r.Limits.Cores, 0, 1<<20)
+	if _, err := r.Machine().Divide(); err != nil {
+		p.Add("limits.descriptors", "%s", err)
+	}
 	p.CheckRange("limits.stall", r.Limits.StallSeconds, 1, 3600)
 	p.CheckRange("limits.stop", r.Limits.StopSeconds, 1, 3600)
 	p.CheckRange("log.level", r.Log.Level, 0, 1)
@@ -173,6 +185,13 @@
 	}
 }
 
+// Machine returns what the process may use of its VM.
+func (r Router) Machine() jvpressure.Machine {
+	return jvpressure.Machine{
+		Descriptors: max(0, r.Limits.Descriptors), MemoryBytes: max(0, r.Limits.MemoryMB) << 20, Processors: float64(max(0, r.Limits.Cores)) / 1000,
+	}
+}
+
 // StallTimeout returns the longest time that an engine may send nothing within an answer.
 func (r Router) StallTimeout() time.Duration {
 	return time.Duration(r.Limits.StallSeconds) * time.Second
--- a/internal/jvsetting/router_test.go
+++ b/internal/jvsetting/router_test.go
@@ -35,6 +35,7 @@
 		{"data after the end", validRouter + "{}"},
 		{"everything missing", "{}"},
 		{"several at once", strings.NewReplacer(`"a1"`, `"A 1"`, `http://`, `ftp://`, `"level": 0`, `"level": 7`, `127.0.1.1:7101`, `7101`).Replace(validRouter)},
+		{"a machine that is too small", strings.Replace(validRouter, `"limits": {}`, `"limits": {"descriptors": 100, "memory": -1}`, 1)},
 		{"TLS without a key", strings.Replace(validRouter, `"127.0.1.1:7100"`, `"127.0.1.1:7100", "tls": {"cert": "c"}`, 1)},
 	} {
 		_, err := ParseRouter([]byte(c.text))
