--- a/internal/jvedge/admission.go
+++ b/internal/jvedge/admission.go
@@ -31,16 +31,16 @@
 	flow := jvpressure.Flow{Workspace: a.workspace(strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer "))}
 	refusal := a.gate.Enter(jvpressure.Request{Flow: flow})
 	if refusal != nil {
-		a.refuse(w, r, refusal)
+		a.refuse(w, flow, refusal)
 		return
 	}
 	defer a.gate.Leave(flow, false)
 	a.next.ServeHTTP(w, r)
 }
 
-func (a *admission) refuse(w http.ResponseWriter, r *http.Request, refusal *jvpressure.Refusal) {
+func (a *admission) refuse(w http.ResponseWriter, flow jvpressure.Flow, refusal *jvpressure.Refusal) {
 	if refusal.Logged {
-		a.logger.Info("request refused unread", "reason", refusal.Kind, "workspace", a.workspace(strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")))
+		a.logger.Info("request refused unread", "reason", refusal.Kind, "workspace", flow.Workspace)
 	}
 	seconds := int(math.Ceil(refusal.RetryAfter.Seconds()))
 	w.Header().Set("Retry-After", strconv.Itoa(seconds))
