--- a/internal/jvgrant/history_test.go
+++ b/internal/jvgrant/history_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -64,7 +65,9 @@
 	statements *fakeTopic
 	nodes      []*node
 	prepaid    int64
-	seed       uint64
+	// seedMu guards seed: the rounds of a router may run at once.
+	seedMu sync.Mutex
+	seed   uint64
 	// small is the size above which the fleet counts as large.
 	small int
 	// noWorkspaces is true while the configuration has no workspaces.
@@ -120,6 +123,8 @@
 
 // random returns the same sequence of numbers in each run.
 func (h *history) random() float64 {
+	h.seedMu.Lock()
+	defer h.seedMu.Unlock()
 	h.seed = h.seed*6364136223846793005 + 1442695040888963407
 	return float64(h.seed>>11) / (1 << 53)
 }
