--- a/internal/jvfleet/bills.go
+++ b/internal/jvfleet/bills.go
@@ -92,7 +92,8 @@
 	return len(b.bills)
 }
 
-// replicateBills sends new bills to a witness, or to the log if no witness acknowledges them. A batch holds all bills that were added while the
+// replicateBills sends new bills to a witness, or to the log if no witness acknowledges them. A batch holds all bills that
+// were added while the
 // previous batch was being sent.
 func (rt *Router) replicateBills() {
 	for {
--- a/internal/jvpressure/shares.go
+++ b/internal/jvpressure/shares.go
@@ -18,7 +18,7 @@
 	minRate = 0.05
 )
 
-// Flow is what requests are told apart by when only a part of them can be admitted.
+// Flow identifies the requests that get one share when only a part of all can be admitted.
 type Flow struct {
 	Workspace string
 	// Priority is 0 for the most urgent requests.
