jvlink: a link that is congested again at once is held longer

Cause: a fixed hold of 5 s. Ruled out: budgets and targets of that zone; its other routers serve. Change: the hold doubles up to 60 s while congestion comes back within the time of the last hold. Evidence: TestCallersReturnToSlowLink, two minutes of callers that come back; before, the link was congested for half of them.

--- a/internal/jvlink/link.go
+++ b/internal/jvlink/link.go
@@ -22,8 +22,10 @@
 	// LeaveShare. Packet headers are not counted.
 	EnterShare float64
 	LeaveShare float64
-	// MinHold is the minimum time for which a link counts as congested.
+	// MinHold is the minimum time for which a link counts as congested. It doubles, up to MaxHold, each time that the
+	// link is congested again within the time of its last hold: the callers that came back are too many for it.
 	MinHold time.Duration
+	MaxHold time.Duration
 }
 
 // DefaultOptions returns options with defaults for all numbers but the capacity.
@@ -33,6 +35,7 @@
 		EnterShare: 0.6,             // On a full link, calls to the store time out, which leaves the router without budgets.
 		LeaveShare: 0.3,             // Well below EnterShare, since callers that return load the link again.
 		MinHold:    5 * time.Second, // The load balancer takes 2 s to send callers elsewhere.
+		MaxHold:    time.Minute,
 	}
 }
 
@@ -56,8 +59,9 @@
 	// measuredAt is the time of the last measurement.
 	measuredAt time.Time
 	rates      rates
-	// changedAt is when congested last changed.
+	// changedAt is when congested last changed, hold is the minimum time of the last congestion.
 	changedAt time.Time
+	hold      time.Duration
 }
 
 // rates are the mean rates in each direction, in bytes per second.
@@ -102,10 +106,15 @@
 	}
 	before := l.congested.Load()
 	share := max(l.rates.in, l.rates.out) / l.options.Capacity
-	after := share >= l.options.EnterShare || before && (share > l.options.LeaveShare || now.Sub(l.changedAt) < l.options.MinHold)
+	after := share >= l.options.EnterShare || before && (share > l.options.LeaveShare || now.Sub(l.changedAt) < l.hold)
 	if after == before {
 		return
 	}
+	if after && now.Sub(l.changedAt) < l.hold {
+		l.hold = min(2*l.hold, l.options.MaxHold)
+	} else if after {
+		l.hold = l.options.MinHold
+	}
 	l.congested.Store(after)
 	l.changedAt = now
 	l.options.Logger.Info("link", "crowded", after, "in", int64(l.rates.in), "out", int64(l.rates.out), "capacity", int64(l.options.Capacity))
--- a/internal/jvlink/link_test.go
+++ b/internal/jvlink/link_test.go
@@ -55,6 +55,28 @@
 	})
 }
 
+// TestCallersReturnToSlowLink guards against a link that is congested for half of the day: the callers that the load balancer
+// sends there are too many for it, and come back as soon as they may.
+func TestCallersReturnToSlowLink(t *testing.T) {
+	withLink(t, slowLink, func(l *Link) {
+		congested := 0
+		const ticks, tick = 1200, 100 * time.Millisecond
+		for range ticks {
+			rate := slowLink
+			if l.Congested() {
+				congested++
+				rate = 0
+			}
+			transfer(l, rate, 0, tick)
+		}
+		require.Greater(t, congested, ticks*9/10, "of two minutes")
+		transfer(l, 0, 0, 2*l.options.MaxHold+time.Second)
+		transfer(l, slowLink, 0, 2*time.Second)
+		transfer(l, 0, 0, l.options.MinHold)
+		require.False(t, l.Congested(), "a link that was calm for long is held for the shortest time again")
+	})
+}
+
 // TestShortBursts checks that a burst of less than half a second does not congest the link.
 func TestShortBursts(t *testing.T) {
 	withLink(t, slowLink, func(l *Link) {
