--- a/internal/jvescrow/reservation.go
+++ b/internal/jvescrow/reservation.go
@@ -4,4 +4,6 @@
 type Reservation struct {
 	Profile string
 	Tokens  int64
+	// Loan identifies the tokens if another router holds them; 0 if this VM does.
+	Loan uint64
 }
--- a/internal/jvgrant/allocator.go
+++ b/internal/jvgrant/allocator.go
@@ -18,9 +18,12 @@
 	// partitions and statements follow the two topics; only rounds poll them.
 	partitions []*partition
 	statements *jvkeyed.Follower
-	// wake starts a round before the pause between rounds has passed.
-	wake chan struct{}
-	// round has an element while a round runs: two at once would give two statements one number.
+	// wake starts a round before the pause between rounds has passed, wakePublish a statement before that round.
+	wake        chan struct{}
+	wakePublish chan struct{}
+	// publishing has an element while a statement is published: two at once would get one number.
+	publishing chan struct{}
+	// round has an element while a round runs.
 	round chan struct{}
 
 	// mu guards the fields below; the escrow's lock is acquired after it.
@@ -47,23 +50,27 @@
 	policy  Policy
 	leaving bool
 	closed  bool
+	// pooled is true if the router serves requests of other routers.
+	pooled bool
 }
 
 // NewAllocator returns an Allocator that holds nothing until it runs.
 func NewAllocator(o Options) *Allocator {
 	a := &Allocator{
-		options:   o,
-		policy:    o.Policy,
-		escrow:    jvescrow.NewEscrow(),
-		wake:      make(chan struct{}, 1),
-		round:     make(chan struct{}, 1),
-		fleet:     NewFleetView(),
-		lost:      map[string]int64{},
-		demands:   map[string]*demand{},
-		waiters:   map[*waiter]bool{},
-		takeover:  takeover{held: map[string]int64{}, charged: map[string]int64{}},
-		startedAt: o.ReadClocks(),
-		roundDone: make(chan struct{}),
+		options:     o,
+		policy:      o.Policy,
+		escrow:      jvescrow.NewEscrow(),
+		wake:        make(chan struct{}, 1),
+		wakePublish: make(chan struct{}, 1),
+		publishing:  make(chan struct{}, 1),
+		round:       make(chan struct{}, 1),
+		fleet:       NewFleetView(),
+		lost:        map[string]int64{},
+		demands:     map[string]*demand{},
+		waiters:     map[*waiter]bool{},
+		takeover:    takeover{held: map[string]int64{}, charged: map[string]int64{}},
+		startedAt:   o.ReadClocks(),
+		roundDone:   make(chan struct{}),
 	}
 	follow := func(name string, topic jvkeyed.Topic, apply func([]jvkeyed.Record, bool)) *jvkeyed.Follower {
 		return jvkeyed.NewFollower(jvkeyed.Options{Name: name, Topic: topic, Timer: o.Timer, Logger: o.Logger, Random: o.Random, Apply: apply})
@@ -120,6 +127,49 @@
 	}
 }
 
+// Retire makes the router return what it holds, now and as requests end, until Resume is called.
+func (a *Allocator) Retire() { a.Leave(0) }
+
+// Resume makes the router hold tokens, also after Retire. pooled is true if it serves requests of other routers.
+func (a *Allocator) Resume(pooled bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.pooled = pooled
+	a.leaving = false
+	a.policy = a.options.Policy
+}
+
+// Retired reports whether the router has retired and holds no tokens any more but those of requests in progress.
+func (a *Allocator) Retired() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.leaving || !a.restored || a.publisher.inDoubt {
+		return false
+	}
+	for _, w := range a.budgets() {
+		account := a.escrow.Account(w)
+		if h, _ := a.fleet.Holding(w, a.options.Router); account.Available() > 0 || account.Reserved > 0 || account.Returned != h.Returned {
+			return false
+		}
+	}
+	return true
+}
+
+// HeldBefore reports whether an earlier process of this router has published a statement, and so may hold tokens.
+func (a *Allocator) HeldBefore(ctx context.Context) (bool, error) {
+	if !a.startRound(ctx) {
+		return false, ctx.Err()
+	}
+	defer a.releaseRound()
+	if err := a.callTopic(ctx, func(ctx context.Context) error { return a.statements.Poll(ctx, 0) }); err != nil {
+		return false, err
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	_, found := a.fleet.statements[a.options.Router]
+	return found, nil
+}
+
 // Close returns all unreserved tokens to the budgets, until ctx ends at the latest. No more tokens are taken
 // afterwards.
 func (a *Allocator) Close(ctx context.Context) {
--- a/internal/jvgrant/error.go
+++ b/internal/jvgrant/error.go
@@ -14,6 +14,8 @@
 	// KindEmpty means that no router has spendable tokens left, although some of the budget may not
 	// have been spent: what an earlier process may have spent counts as spent.
 	KindEmpty Kind = "empty"
+	// KindWait means that this router holds too little, and may get more if the request waits.
+	KindWait Kind = "wait"
 	// KindUnready means that the router has not yet read what it held before its start.
 	KindUnready Kind = "unready"
 )
--- a/internal/jvgrant/publisher.go
+++ b/internal/jvgrant/publisher.go
@@ -178,11 +178,19 @@
 // a workspace could not serve the next ones while the store is away. a.mu must be held.
 func (a *Allocator) ampleHeadroom(workspace string) int64 {
 	prepaid, _ := a.options.Prepaid(workspace)
-	return int64(ampleHeadroomShare * float64(prepaid) / float64(a.routers()))
+	share := ampleHeadroomShare
+	if a.pooled {
+		share = pooledHeadroomShare
+	}
+	return int64(share * float64(prepaid) / float64(a.routers()))
 }
 
-// ampleHeadroomShare is a share of a budget that is small against fleetHeadroomShare.
-const ampleHeadroomShare = 0.005
+// ampleHeadroomShare and pooledHeadroomShare are shares of a budget that are small against fleetHeadroomShare. Few routers
+// that serve all requests divide theirs into larger parts, of a few requests each.
+const (
+	ampleHeadroomShare  = 0.005
+	pooledHeadroomShare = 0.02
+)
 
 // maxHeadroom returns the maximum headroom of a bound. It is unlimited in a small fleet; in a large one
 // it is the router's part of fleetHeadroomShare, since the headroom of every router counts as lost
--- a/internal/jvgrant/reserve.go
+++ b/internal/jvgrant/reserve.go
@@ -11,8 +11,43 @@
 // Reserve reserves the worst case of a request out of what this router holds. Where that is too
 // little, it waits for more until ctx ends.
 func (a *Allocator) Reserve(ctx context.Context, workspace string, tokens int64) (jvescrow.Reservation, error) {
-	const op = "reserve"
 	a.addDemand(workspace, tokens)
+	return a.Await(ctx, workspace, tokens)
+}
+
+// Try reserves the worst case of a request without waiting. counted is true if the request counts as demand also if it is
+// refused: a request that is made at several routers counts at the first of them.
+func (a *Allocator) Try(workspace string, tokens int64, counted bool) (jvescrow.Reservation, error) {
+	r, err := a.tryReserve(workspace, tokens)
+	if err == nil || counted {
+		a.addDemand(workspace, tokens)
+	}
+	if err == nil {
+		return r, nil
+	}
+	return r, a.refusal(workspace, tokens, err)
+}
+
+// refusal returns the error for a request for which this router holds too little, by what it knows now.
+func (a *Allocator) refusal(workspace string, tokens int64, cause error) error {
+	const op = "reserve"
+	switch {
+	case !a.Ready():
+		return jvfault.Newf(op, KindUnready, "budgets have not been read yet")
+	case !a.Reachable():
+		return jvfault.Newf(op, KindShort, "%d tokens needed, %d held, budgets away since %s: %v",
+			tokens, a.available(workspace), a.LastSeen().UTC().Format(time.RFC3339Nano), cause)
+	case a.spent(workspace, tokens):
+		return jvfault.Newf(op, KindSpent, "the prepaid budget has less left than the %d tokens that this request may use", tokens)
+	case a.empty(workspace, tokens):
+		return jvfault.Newf(op, KindEmpty, "no router has the %d tokens needed left", tokens)
+	}
+	return jvfault.Newf(op, KindWait, "%d tokens needed, %d held: %v", tokens, a.available(workspace), cause)
+}
+
+// Await reserves like Reserve, for a request that already counts as demand.
+func (a *Allocator) Await(ctx context.Context, workspace string, tokens int64) (jvescrow.Reservation, error) {
+	const op = "reserve"
 	w := &waiter{workspace: workspace, tokens: tokens}
 	defer a.removeWaiter(w)
 	for {
@@ -20,17 +55,8 @@
 		if err == nil {
 			return r, nil
 		}
-		switch {
-		case !a.Ready():
-			return r, jvfault.Newf(op, KindUnready, "budgets have not been read yet")
-		case !a.Reachable():
-			return r, jvfault.Newf(op, KindShort, "%d tokens needed, %d held, budgets away since %s: %v",
-				tokens, a.available(workspace), a.LastSeen().UTC().Format(time.RFC3339Nano), err)
-		case a.spent(workspace, tokens):
-			return r, jvfault.Newf(op, KindSpent, "the prepaid budget has less left than the %d tokens that this request may use", tokens)
-		}
-		if a.empty(workspace, tokens) {
-			return r, jvfault.Newf(op, KindEmpty, "no router has the %d tokens needed left", tokens)
+		if refusal := a.refusal(workspace, tokens, err); jvfault.KindOf[Kind](refusal) != KindWait {
+			return r, refusal
 		}
 		roundDone := a.addWaiter(w)
 		select {
@@ -85,15 +111,17 @@
 	tokens    int64
 }
 
-// addWaiter adds a request to those that wait, wakes Run for a round, and returns the channel that is
-// closed when a round ends next.
+// addWaiter adds a request to those that wait, wakes Run, and returns the channel that is closed when a round
+// ends or a statement is published next.
 func (a *Allocator) addWaiter(w *waiter) <-chan struct{} {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.waiters[w] = true
-	select {
-	case a.wake <- struct{}{}:
-	default:
+	for _, wake := range []chan struct{}{a.wake, a.wakePublish} {
+		select {
+		case wake <- struct{}{}:
+		default:
+		}
 	}
 	return a.roundDone
 }
--- a/internal/jvgrant/rounds.go
+++ b/internal/jvgrant/rounds.go
@@ -7,6 +7,7 @@
 
 // Run runs rounds until ctx ends.
 func (a *Allocator) Run(ctx context.Context) {
+	go a.publishEarly(ctx)
 	idle := 0 // Consecutive rounds that requests started and that changed nothing.
 	for ctx.Err() == nil {
 		changed := a.runRound(ctx)
@@ -16,7 +17,6 @@
 			if changed {
 				idle = 0
 			}
-			a.publishEarly(ctx)
 			a.delayRound(ctx, idle)
 			idle++
 		case <-a.options.Timer.After(a.roundInterval()):
@@ -25,19 +25,37 @@
 	}
 }
 
-// publishEarly publishes a statement before the next round in a large fleet, whose rounds are far
-// apart, for requests that wait only for a statement. In a small fleet the statement after the
-// round's rebalance serves them, and also leaves headroom for the next requests.
+// publishEarly publishes statements between rounds, for requests that wait only for a statement: a round that moves tokens
+// takes as long as many routers contend for them.
 func (a *Allocator) publishEarly(ctx context.Context) {
-	if !a.fleetSize().large() || !a.ready() || !a.startRound(ctx) {
-		return
-	}
-	defer a.releaseRound()
-	if a.publishIfDue(ctx) {
-		a.endRound()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-a.wakePublish:
+		}
+		if a.publishesEarly() && a.publishIfDue(ctx) {
+			a.endRound()
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-a.options.Timer.After(a.fleetSize().scale(earlyInterval)):
+		}
 	}
 }
 
+// publishesEarly reports whether requests get statements between rounds. In a small fleet the statement after the round's
+// rebalance serves them, and also leaves headroom for the next requests.
+func (a *Allocator) publishesEarly() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.restored && (a.pooled || a.fleetSizeLocked().large())
+}
+
+// earlyInterval keeps the early statements of a dozen routers within what one partition of the store takes.
+const earlyInterval = 20 * time.Millisecond
+
 func (a *Allocator) delayRound(ctx context.Context, idle int) {
 	pause := a.fleetSize().roundDelay(idle)
 	if pause == 0 {
@@ -149,6 +167,12 @@
 
 // publishIfDue publishes a statement where one is due, and reports whether it was confirmed.
 func (a *Allocator) publishIfDue(ctx context.Context) bool {
+	select {
+	case a.publishing <- struct{}{}:
+	case <-ctx.Done():
+		return false
+	}
+	defer func() { <-a.publishing }()
 	a.mu.Lock()
 	before := a.publisher.sequence
 	a.mu.Unlock()
--- a/internal/jvkeyed/follower.go
+++ b/internal/jvkeyed/follower.go
@@ -19,6 +19,8 @@
 	maxRetry = 500 * time.Millisecond
 	// lateRead is how much longer than its wait a read may take before the next one asks without a wait.
 	lateRead = 250 * time.Millisecond
+	// refusedFactor is the pause after a refused read, in pauses of Gather: a log that refuses calls has too many.
+	refusedFactor = 2
 )
 
 // Options configure a Follower.
@@ -34,6 +36,9 @@
 	ReadWait time.Duration
 	// ReadTimeout bounds one read of Run, including ReadWait, so that a silent connection is detected.
 	ReadTimeout time.Duration
+	// Gather returns the pause of Run after a read that returned records, so that the next read returns several
+	// records: each record ends the waiting reads of all routers at once. It may be nil.
+	Gather func() time.Duration
 	// Apply applies records in order. With complete set they are all records of the topic, and keys
 	// without a record no longer exist. It is called from one goroutine at a time.
 	Apply func(records []Record, complete bool)
@@ -66,6 +71,7 @@
 	for retries := 0; ctx.Err() == nil; {
 		startedAt := f.options.Timer.Uptime()
 		call, cancel := f.options.Timer.WithTimeout(ctx, f.options.ReadTimeout)
+		before := f.NextOffset()
 		err := f.Poll(call, wait)
 		cancel()
 		wait = f.options.ReadWait
@@ -74,15 +80,31 @@
 		}
 		if err == nil {
 			retries = 0
+			if f.options.Gather != nil && f.NextOffset() != before {
+				gather := f.options.Gather()
+				wait = max(0, wait-gather)
+				f.pause(ctx, gather)
+			}
 			continue
 		}
 		pause := min(minRetry<<min(retries, 8), maxRetry)
+		if f.options.Gather != nil && jvfault.KindOf[Kind](err) == KindRefused {
+			pause = max(pause, refusedFactor*f.options.Gather())
+		}
 		pause -= time.Duration(f.options.Random() * float64(pause) / 2)
 		retries++
-		select {
-		case <-ctx.Done():
-		case <-f.options.Timer.After(pause):
-		}
+		f.pause(ctx, pause)
+	}
+}
+
+// pause waits for a time, or until ctx ends.
+func (f *Follower) pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-f.options.Timer.After(d):
 	}
 }
 
--- a/internal/jvlimit/limits.go
+++ b/internal/jvlimit/limits.go
@@ -38,7 +38,7 @@
 	l := &Limits{options: o, limits: map[string]*limit{}, members: map[string]time.Time{}, started: map[string]int64{}}
 	l.follower = jvkeyed.NewFollower(jvkeyed.Options{
 		Name: o.Name, Topic: o.Topic, Timer: o.Timer, Logger: o.Logger, Random: o.Random,
-		ReadWait: o.ReadWait, ReadTimeout: o.ReadTimeout, Apply: l.apply,
+		ReadWait: o.ReadWait, ReadTimeout: o.ReadTimeout, Gather: o.Gather, Apply: l.apply,
 	})
 	l.publisher = jvkeyed.NewPublisher(jvkeyed.PublisherOptions{
 		Topic: o.Topic, Timer: o.Timer, Logger: o.Logger, Random: o.Random, MaxPending: o.MaxPending,
--- a/internal/jvlimit/options.go
+++ b/internal/jvlimit/options.go
@@ -25,7 +25,9 @@
 	// ReadWait is how long one read of the topic waits for records, ReadTimeout bounds it.
 	ReadWait    time.Duration
 	ReadTimeout time.Duration
-	Sharing     Sharing
+	// Gather is as in jvkeyed.Options.
+	Gather  func() time.Duration
+	Sharing Sharing
 	// SettleTime is how long a router is known to be registered before it uses limits, so that the others
 	// know it as well.
 	SettleTime time.Duration
--- /dev/null
+++ b/internal/jvloan/fleet_test.go
@@ -0,0 +1,263 @@
+package jvloan
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"github.com/jasminevale/jasminevale/internal/jvfault"
+	"github.com/jasminevale/jasminevale/internal/jvgrant"
+	"github.com/jasminevale/jasminevale/internal/jvkeyed"
+	"github.com/jasminevale/jasminevale/internal/jvmember"
+	"github.com/jasminevale/jasminevale/internal/jvpace"
+	"github.com/jasminevale/jasminevale/internal/jvtimer"
+	"github.com/jasminevale/jasminevale/internal/jvtopic"
+)
+
+// store counts the calls of all routers in each second, and refuses those beyond its rates.
+type store struct {
+	reads, writes  int
+	second         int64
+	readsPerS      int
+	writesPerS     int
+	refused, total int
+	away           bool
+	mu             sync.Mutex
+}
+
+// call counts a call and returns the error for it, or nil.
+func (s *store) call(write bool) error {
+	time.Sleep(4 * time.Millisecond)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.away {
+		return jvfault.Newf("call", jvkeyed.KindUnknown, "away")
+	}
+	if now := time.Now().Unix(); now != s.second {
+		s.second, s.reads, s.writes = now, 0, 0
+	}
+	s.total++
+	count, limit := &s.reads, s.readsPerS
+	if write {
+		count, limit = &s.writes, s.writesPerS
+	}
+	*count++
+	if *count > limit {
+		s.refused++
+		return jvfault.Newf("call", jvkeyed.KindRefused, "too many calls")
+	}
+	return nil
+}
+
+// topic is a topic of the store.
+type topic struct {
+	jvkeyed.Topic
+
+	store *store
+}
+
+func (t *topic) Newest(ctx context.Context, after string) (jvkeyed.Page, error) {
+	if err := t.store.call(false); err != nil {
+		return jvkeyed.Page{}, err
+	}
+	return t.Topic.Newest(ctx, after)
+}
+
+func (t *topic) Read(ctx context.Context, from uint64, wait time.Duration) (jvkeyed.Page, error) {
+	if err := t.store.call(false); err != nil {
+		return jvkeyed.Page{}, err
+	}
+	return t.Topic.Read(ctx, from, wait)
+}
+
+func (t *topic) AppendAt(ctx context.Context, at uint64, records []jvkeyed.Record) (uint64, error) {
+	if err := t.store.call(true); err != nil {
+		return 0, err
+	}
+	return t.Topic.AppendAt(ctx, at, records)
+}
+
+func (t *topic) Append(ctx context.Context, p jvkeyed.Producer, records []jvkeyed.Record) (uint64, error) {
+	if err := t.store.call(true); err != nil {
+		return 0, err
+	}
+	return t.Topic.Append(ctx, p, records)
+}
+
+// fleet is many routers that serve the requests of some workspaces.
+type fleet struct {
+	store      *store
+	topics     map[string]*jvtopic.Topic
+	holders    int
+	gathers    bool
+	routers    []*Loans
+	byName     map[string]*Loans
+	workspaces []string
+	timer      *jvtimer.Service
+	startedAt  time.Time
+
+	mu              sync.Mutex
+	random          *rand.Rand
+	served, refused int
+}
+
+func (f *fleet) float() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.random.Float64()
+}
+
+func (f *fleet) topic(name string) jvkeyed.Topic {
+	if f.topics[name] == nil {
+		f.topics[name] = jvtopic.New()
+	}
+	return &topic{Topic: jvtopic.NewClient(f.topics[name], jvtopic.MutantNone), store: f.store}
+}
+
+const prepaid = 30_000_000
+
+// start starts a router that follows the servers' topic beside the budgets.
+func (f *fleet) start(ctx context.Context, name, zone string) {
+	mo := jvmember.DefaultOptions()
+	mo.Topic, mo.Timer, mo.Random = f.topic("routers"), f.timer, f.float
+	mo.Self = jvmember.Member{Name: name, Zone: zone, Address: "10.0.0.1:7", Weight: 0.2}
+	mo.NewSecret = func() []byte { return make([]byte, jvmember.SecretBytes) }
+	var members *jvmember.Members
+	pace := jvpace.New(float64(f.store.readsPerS), func() int { return len(members.Others()) + 1 })
+	gather := pace.Gather
+	if !f.gathers {
+		gather = nil
+	}
+	mo.Gather = gather
+	members = jvmember.New(mo)
+	servers := jvkeyed.NewFollower(jvkeyed.Options{
+		Topic: f.topic("servers"), Timer: f.timer, Random: f.float, Gather: gather,
+		ReadWait: time.Second, ReadTimeout: 1500 * time.Millisecond, Apply: func([]jvkeyed.Record, bool) {},
+	})
+	g := jvgrant.DefaultOptions()
+	for n := range 16 {
+		g.Grants = append(g.Grants, f.topic(fmt.Sprint("grants", n)))
+	}
+	g.Router, g.Statements, g.Timer, g.Random = name, f.topic("statements"), f.timer, f.float
+	g.ReadClocks = func() jvgrant.ClockReading {
+		return jvgrant.ClockReading{BootID: name, Uptime: time.Since(f.startedAt), WallClock: time.Now()}
+	}
+	g.ConfigLoaded = func() bool { return true }
+	g.Prepaid = func(string) (int64, bool) { return prepaid, true }
+	g.Workspaces = func() []string { return f.workspaces }
+	o := DefaultOptions()
+	o.Allocator, o.Self, o.Others, o.Settled = jvgrant.NewAllocator(g), members.Self, members.Others, members.Settled
+	o.Timer, o.Logger, o.Random, o.Holders = f.timer, logr.Discard(), f.float, f.holders
+	o.Send = func(to jvmember.Member, data []byte) { f.send(to.Name, name, data) }
+	l := New(o)
+	f.routers = append(f.routers, l)
+	f.byName[name] = l
+	go members.Run(ctx)
+	go servers.Run(ctx)
+	go l.Run(ctx)
+}
+
+func (f *fleet) send(to, from string, data []byte) {
+	time.AfterFunc(time.Millisecond, func() {
+		_ = f.byName[to].Receive(data, func(reply []byte) { f.send(from, to, reply) })
+	})
+}
+
+// serve serves requests at random routers for a time.
+func (f *fleet) serve(rate float64, span time.Duration) {
+	var all sync.WaitGroup
+	for range int(rate * span.Seconds()) {
+		time.Sleep(time.Duration(float64(time.Second) / rate))
+		router := f.routers[int(f.float()*float64(len(f.routers)))]
+		// A few workspaces have most of the requests.
+		workspace := f.workspaces[int(f.float()*f.float()*float64(len(f.workspaces)))]
+		tokens := int64(2000 + 20_000*f.float())
+		all.Go(func() {
+			ctx, cancel := f.timer.WithTimeout(context.Background(), 150*time.Millisecond)
+			defer cancel()
+			r, err := router.Reserve(ctx, workspace, tokens)
+			f.mu.Lock()
+			if err == nil {
+				f.served++
+			} else {
+				f.refused++
+			}
+			f.mu.Unlock()
+			if err == nil {
+				time.Sleep(300 * time.Millisecond)
+				router.Settle(r, tokens/2)
+			}
+		})
+	}
+	all.Wait()
+}
+
+// inFleet runs a test with n routers that share a store with the rates of a large deployment.
+func inFleet(t *testing.T, n, holders int, gathers bool, test func(f *fleet)) {
+	synctest.Test(t, func(*testing.T) {
+		f := &fleet{
+			store: &store{readsPerS: 16_000, writesPerS: 4_000}, topics: map[string]*jvtopic.Topic{}, holders: holders, gathers: gathers,
+			byName: map[string]*Loans{}, startedAt: time.Now(), timer: jvtimer.NewService(), random: rand.New(rand.NewPCG(1, uint64(n))),
+		}
+		for i := range 40 {
+			f.workspaces = append(f.workspaces, fmt.Sprint("w", i))
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		for i := range n {
+			f.start(ctx, fmt.Sprint("r", i), fmt.Sprint("z", i%5))
+		}
+		servers := f.topic("servers")
+		for i := range 128 {
+			go func() {
+				for ctx.Err() == nil {
+					_, _ = servers.Append(ctx, jvkeyed.Producer{}, []jvkeyed.Record{{Key: fmt.Sprint("s", i), Value: []byte("v")}})
+					time.Sleep(1200 * time.Millisecond)
+				}
+			}()
+		}
+		time.Sleep(10 * time.Second)
+		test(f)
+		cancel()
+		f.timer.Close()
+		time.Sleep(time.Minute)
+	})
+}
+
+// TestStartStaysWithinTheRatesOfTheStore guards against a fleet whose routers ask the store for more than it takes, are
+// refused, and ask again: 330 routers start at the same time beside 128 servers that write about once a second.
+func TestStartStaysWithinTheRatesOfTheStore(t *testing.T) {
+	inFleet(t, 330, 12, true, func(f *fleet) {
+		for _, l := range f.routers {
+			require.True(t, l.Ready())
+		}
+		f.serve(500, 4*time.Second)
+		t.Logf("%d calls, %d refused; %d requests served, %d refused", f.store.total, f.store.refused, f.served, f.refused)
+		require.Zero(t, f.store.refused)
+		require.Less(t, f.refused, f.served/100)
+	})
+}
+
+// TestFewHoldersServeAStoreOutage guards against requests that are refused although tokens are left, since they are at
+// other routers: 83 routers lose the store for 8 s while they serve 40 workspaces. The baseline is a part of each budget at
+// each router.
+func TestFewHoldersServeAStoreOutage(t *testing.T) {
+	refused := map[int]int{}
+	for _, holders := range []int{0, 12} {
+		inFleet(t, 83, holders, true, func(f *fleet) {
+			f.serve(300, 5*time.Second)
+			f.store.away = true
+			f.serve(300, 8*time.Second)
+			t.Logf("%d holders: %d calls; %d requests served, %d refused", holders, f.store.total, f.served, f.refused)
+			refused[holders] = f.refused
+			require.Positive(t, f.served)
+		})
+	}
+	require.Less(t, refused[12], refused[0]/4)
+}
--- /dev/null
+++ b/internal/jvloan/history_test.go
@@ -0,0 +1,253 @@
+package jvloan
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/jasminevale/jasminevale/internal/jvescrow"
+	"github.com/jasminevale/jasminevale/internal/jvfault"
+	"github.com/jasminevale/jasminevale/internal/jvgrant"
+	"github.com/jasminevale/jasminevale/internal/jvmember"
+	"github.com/jasminevale/jasminevale/internal/jvproperty"
+	"github.com/jasminevale/jasminevale/internal/jvtimer"
+)
+
+// mutant is a fault that the histories must detect.
+type mutant string
+
+const (
+	mutantNone     mutant = ""
+	mutantRestart  mutant = "a restart forgets what is lent"
+	mutantTwice    mutant = "a loan is settled twice"
+	mutantLate     mutant = "a reserve that arrives after its settle makes a new loan"
+	mutantUnproved mutant = "a borrower uses a reservation that it has given up"
+)
+
+// pot is an allocator that holds a number of tokens and never gets more.
+type pot struct {
+	Allocator
+
+	escrow *jvescrow.Escrow
+}
+
+func (p *pot) Try(w string, tokens int64, _ bool) (jvescrow.Reservation, error) {
+	r, err := p.escrow.Reserve(w, tokens)
+	if err != nil {
+		return r, jvfault.New("reserve", jvgrant.KindWait, err)
+	}
+	return r, nil
+}
+
+func (p *pot) Await(ctx context.Context, w string, tokens int64) (jvescrow.Reservation, error) {
+	<-ctx.Done()
+	return p.Try(w, tokens, false)
+}
+
+func (p *pot) Settle(r jvescrow.Reservation, used int64) { p.escrow.Settle(r, used) }
+
+// network delivers messages late, twice or not at all, by a fixed sequence.
+type network struct {
+	mutant  mutant
+	routers map[string]*router
+	// faults are drawn ahead; each message takes the next one.
+	faults []int
+	sent   int
+	calm   bool
+}
+
+type router struct {
+	network *network
+	member  jvmember.Member
+	pot     *pot
+	loans   *Loans
+	open    []jvescrow.Reservation
+}
+
+func (n *network) send(to string, data []byte) {
+	r := n.routers[to]
+	fault := 0
+	if !n.calm {
+		fault = n.faults[n.sent%len(n.faults)]
+	}
+	n.sent++
+	deliver := func(delay time.Duration) {
+		time.AfterFunc(delay, func() {
+			m, err := decodeMessage(data)
+			if err != nil {
+				panic(err)
+			}
+			key := loanKey{m.Router, m.Process, m.Number}
+			if n.mutant == mutantLate && m.Operation == operationSettle {
+				defer func() {
+					r.loans.lender.mu.Lock()
+					delete(r.loans.lender.loans, key)
+					r.loans.lender.mu.Unlock()
+				}()
+			}
+			r.loans.lender.mu.Lock()
+			if o := r.loans.lender.loans[key]; n.mutant == mutantTwice && m.Operation == operationSettle && o != nil && o.ended {
+				o.granted = true
+			}
+			r.loans.lender.mu.Unlock()
+			_ = r.loans.Receive(data, func(reply []byte) { n.send(m.Router, reply) })
+		})
+	}
+	switch fault {
+	case 1:
+		return
+	case 2:
+		deliver(time.Millisecond)
+		deliver(70 * time.Millisecond)
+	case 3:
+		deliver(90 * time.Millisecond)
+	default:
+		deliver(time.Millisecond)
+	}
+}
+
+const (
+	testWorkspace = "w"
+	potTokens     = 20_000
+	testZones     = 2
+	testRouters   = 14
+	testHolders   = 4
+)
+
+func (n *network) start(r *router) {
+	o := DefaultOptions()
+	o.Allocator, o.Timer, o.Logger = r.pot, jvtimer.NewService(), logr.Discard()
+	o.Random = func() float64 { n.sent++; return float64(n.sent%1000) / 1000 }
+	o.Self = func() jvmember.Member { return r.member }
+	o.Send = func(to jvmember.Member, data []byte) { n.send(to.Name, data) }
+	o.Holders = testHolders
+	r.loans = New(o)
+	var all []jvmember.Member
+	for _, other := range n.routers {
+		all = append(all, other.member)
+	}
+	r.loans.layout = NewLayout(all, o.Holders)
+	r.loans.role = RoleBorrower
+	r.open = nil
+}
+
+// runHistory returns the first violation, or "".
+func runHistory(t *testing.T, m mutant, faults, steps []int) (violation string) {
+	synctest.Test(t, func(*testing.T) {
+		n := &network{mutant: m, routers: map[string]*router{}, faults: faults}
+		for i := range testRouters {
+			name := fmt.Sprint("r", i)
+			n.routers[name] = &router{network: n, member: jvmember.Member{Name: name, Zone: fmt.Sprint("z", i%testZones), Weight: 1}, pot: &pot{escrow: jvescrow.NewEscrow()}}
+			n.routers[name].pot.escrow.RaiseTotals(testWorkspace, potTokens, 0)
+		}
+		for _, r := range n.routers {
+			n.start(r)
+		}
+		used := int64(0) // By requests that have ended, and at most by those that run or whose router was killed.
+		killed := false
+		for _, s := range steps {
+			r := n.routers[fmt.Sprint("r", s%testRouters)]
+			switch s / testRouters % 8 {
+			case 0, 1, 2, 3:
+				ctx, cancel := context.WithTimeout(context.Background(), 150*time.Millisecond)
+				tokens := int64(200 + s%3000)
+				number := r.loans.borrower.last
+				got, err := r.loans.Reserve(ctx, testWorkspace, tokens)
+				if m == mutantUnproved && err != nil && number != r.loans.borrower.last {
+					used += tokens
+				}
+				cancel()
+				if err == nil {
+					r.open = append(r.open, got)
+					used += tokens
+				}
+			case 4, 5:
+				if len(r.open) > 0 {
+					end := r.open[0]
+					r.open = r.open[1:]
+					part := end.Tokens * int64(s%101) / 100
+					used -= end.Tokens - part
+					r.loans.Settle(end, part)
+				}
+			case 6:
+				time.Sleep(time.Duration(s%3000) * time.Millisecond)
+				for _, o := range n.routers {
+					o.loans.borrower.resend()
+					o.loans.lender.expire()
+				}
+			case 7: // The next process knows only what the one before may have spent: all that it had committed.
+				killed = true
+				if m != mutantRestart {
+					r.pot.escrow.CloseAndSettle()
+				}
+				fresh := jvescrow.NewEscrow()
+				fresh.Restore(testWorkspace, potTokens, 0, r.pot.escrow.Account(testWorkspace).Spent)
+				r.pot.escrow = fresh
+				n.start(r)
+			}
+			committed := int64(0)
+			for _, o := range n.routers {
+				a := o.pot.escrow.Account(testWorkspace)
+				committed += a.Committed()
+				if a.Reserved < 0 || a.Available() < 0 {
+					violation = fmt.Sprintf("%s has %+v", o.member.Name, a)
+				}
+			}
+			if used > committed {
+				violation = fmt.Sprintf("%d tokens used, holders count %d", used, committed)
+			}
+			if violation != "" {
+				return
+			}
+		}
+		n.calm = true
+		for _, r := range n.routers {
+			for _, o := range r.open {
+				r.loans.Settle(o, o.Tokens)
+			}
+		}
+		for range 2 * maxSettles {
+			time.Sleep(maxSettleInterval)
+			for _, o := range n.routers {
+				o.loans.borrower.resend()
+			}
+		}
+		for _, r := range n.routers {
+			if a := r.pot.escrow.Account(testWorkspace); !killed && a.Reserved != 0 {
+				violation = fmt.Sprintf("%s keeps %d tokens reserved", r.member.Name, a.Reserved)
+			}
+		}
+	})
+	return violation
+}
+
+func historyProperty(t *testing.T, m mutant) func(*rapid.T) {
+	return func(r *rapid.T) {
+		faults := rapid.SliceOfN(rapid.IntRange(0, 5), 7, 40).Draw(r, "faults")
+		steps := rapid.SliceOfN(rapid.IntRange(0, 100_000), 20, 150).Draw(r, "steps")
+		require.Empty(r, runHistory(t, m, faults, steps))
+	}
+}
+
+// TestLoansNeverExceedWhatHoldersCount guards against requests that use more than their holders count as spent or
+// reserved, and against tokens that stay reserved for nobody: messages are lost, doubled and late, and routers are killed.
+func TestLoansNeverExceedWhatHoldersCount(t *testing.T) {
+	rapid.Check(t, historyProperty(t, mutantNone))
+}
+
+// TestLoanFaultsAreNoticed guards against a property that detects nothing.
+func TestLoanFaultsAreNoticed(t *testing.T) {
+	for _, m := range []mutant{mutantRestart, mutantTwice, mutantLate, mutantUnproved} {
+		t.Run(string(m), func(t *testing.T) {
+			caught, how := jvproperty.CheckFails(t, historyProperty(t, m))
+			require.True(t, caught, "mutant not detected")
+			t.Log(how)
+		})
+	}
+}
--- /dev/null
+++ b/internal/jvloan/lender.go
@@ -0,0 +1,154 @@
+package jvloan
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jasminevale/jasminevale/internal/jvcodec"
+	"github.com/jasminevale/jasminevale/internal/jvescrow"
+	"github.com/jasminevale/jasminevale/internal/jvfault"
+	"github.com/jasminevale/jasminevale/internal/jvgrant"
+)
+
+// loanKey identifies a reservation of another router.
+type loanKey struct {
+	router  string
+	process uint64
+	number  uint64
+}
+
+// loan is a reservation for another router. A borrower's messages may arrive more than once and in any order, so a
+// loan that has ended is kept for endedAge: a late reserve must not make a new one of it.
+type loan struct {
+	reservation jvescrow.Reservation
+	granted     bool
+	ended       bool
+	at          time.Time
+}
+
+// endedAge is longer than any message is on its way.
+const endedAge = time.Minute
+
+// lender makes reservations for other routers out of what this one holds.
+type lender struct {
+	options Options
+
+	mu    sync.Mutex
+	loans map[loanKey]*loan
+	// open is the number of loans that were granted and have not ended.
+	open int
+}
+
+func newLender(o Options) *lender { return &lender{options: o, loans: map[loanKey]*loan{}} }
+
+// reserve handles a reserve.
+func (l *lender) reserve(m message, reply func(message)) {
+	key := loanKey{m.Router, m.Process, m.Number}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if old := l.loans[key]; old != nil {
+		if old.granted { // The response was lost, or the message was doubled.
+			reply(m.granted())
+		}
+		return
+	}
+	r, err := l.options.Allocator.Try(m.Workspace, m.Tokens, m.Counted)
+	switch {
+	case err == nil:
+		l.loans[key] = &loan{reservation: r, granted: true, at: l.options.Timer.Now()}
+		l.open++
+		reply(m.granted())
+	case m.WaitMillis == 0 || jvfault.KindOf[jvgrant.Kind](err) != jvgrant.KindWait:
+		reply(m.refused(err))
+	default:
+		waiting := &loan{at: l.options.Timer.Now()}
+		l.loans[key] = waiting
+		go l.wait(key, waiting, m, reply)
+	}
+}
+
+// wait waits for the tokens of a loan.
+func (l *lender) wait(key loanKey, waiting *loan, m message, reply func(message)) {
+	ctx, cancel := l.options.Timer.WithTimeout(context.Background(), time.Duration(m.WaitMillis)*time.Millisecond)
+	defer cancel()
+	r, err := l.options.Allocator.Await(ctx, m.Workspace, m.Tokens)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case err != nil && !waiting.ended:
+		delete(l.loans, key)
+		reply(m.refused(err))
+	case err == nil && waiting.ended: // The borrower has settled it meanwhile: it has not been used.
+		l.options.Allocator.Settle(r, 0)
+	case err == nil:
+		waiting.reservation, waiting.granted, waiting.at = r, true, l.options.Timer.Now()
+		l.open++
+		reply(m.granted())
+	}
+}
+
+// settle handles a settle.
+func (l *lender) settle(m message, reply func(message)) {
+	key := loanKey{m.Router, m.Process, m.Number}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	o := l.loans[key]
+	if o == nil {
+		o = &loan{}
+		l.loans[key] = o
+	}
+	l.end(o, m.Tokens)
+	reply(message{Operation: operationSettled, Router: m.Router, Process: m.Process, Number: m.Number})
+}
+
+// end ends a loan of which tokens were used; l.mu must be held.
+func (l *lender) end(o *loan, used int64) {
+	if o.granted {
+		l.options.Allocator.Settle(o.reservation, used)
+		l.open--
+	}
+	if !o.ended {
+		o.at = l.options.Timer.Now()
+	}
+	o.granted, o.ended = false, true
+}
+
+// expire ends loans that have not been settled for MaxAge, and forgets those that have ended.
+func (l *lender) expire() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for key, o := range l.loans {
+		age := l.options.Timer.Since(o.at)
+		switch {
+		case o.ended && age > endedAge:
+			delete(l.loans, key)
+		case o.granted && age > l.options.MaxAge:
+			l.end(o, o.reservation.Tokens)
+		}
+	}
+}
+
+// Open returns the number of loans that have not ended.
+func (l *lender) Open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open
+}
+
+// granted returns the response to a reserve that is granted.
+func (m message) granted() message {
+	return message{Operation: operationReserved, Router: m.Router, Process: m.Process, Number: m.Number, Tokens: m.Tokens}
+}
+
+// refused returns the response to a reserve that is refused.
+func (m message) refused(err error) message {
+	text := err.Error()
+	return message{
+		Operation: operationReserved, Router: m.Router, Process: m.Process, Number: m.Number,
+		Refusal: string(jvfault.KindOf[jvgrant.Kind](err)), Reason: text[:min(len(text), maxReasonBytes)],
+	}
+}
+
+// encode returns the bytes of a message.
+func (m message) encode() []byte { return jvcodec.Encode(m) }
--- a/internal/jvmember/members.go
+++ b/internal/jvmember/members.go
@@ -18,6 +18,8 @@
 	Zone string `json:"zone"`
 	// Address is the host:port at which other routers reach it.
 	Address string `json:"address"`
+	// Weight is the number of processors of the router's machine, or 0 if it holds no budgets for others.
+	Weight float64 `json:"weight,omitempty"`
 }
 
 // registered is a member with the time of its last registration on this router's steady clock.
@@ -39,6 +41,11 @@
 	others []Member
 	secret []byte
 	closed bool
+	// loadedAt is when the topic was first read, joinedAt when a member that was not known was last read.
+	loadedAt time.Time
+	joinedAt time.Time
+	// returning is true if the topic had this router's registration when it was first read.
+	returning bool
 }
 
 // New returns Members that know none.
@@ -46,7 +53,7 @@
 	m := &Members{options: o, byName: map[string]registered{}}
 	m.follower = jvkeyed.NewFollower(jvkeyed.Options{
 		Name: o.Name, Topic: o.Topic, Timer: o.Timer, Logger: o.Logger, Random: o.Random,
-		ReadWait: o.ReadWait, ReadTimeout: o.ReadTimeout, Apply: m.apply,
+		ReadWait: o.ReadWait, ReadTimeout: o.ReadTimeout, Gather: o.Gather, Apply: m.apply,
 	})
 	m.publisher = jvkeyed.NewPublisher(jvkeyed.PublisherOptions{
 		Topic: o.Topic, Timer: o.Timer, Logger: o.Logger, Random: o.Random, MaxPending: maxPending,
@@ -59,8 +66,12 @@
 	// maxPending limits the records that wait for the topic: this router's own, and those of members that
 	// it removes.
 	maxPending = 1000
-	// secretRetry is the time between two attempts to give the fleet a secret.
-	secretRetry = 200 * time.Millisecond
+	// secretRetry is the time between two attempts to give the fleet a secret, and secretTurn the time that a router
+	// leaves to each router before it in the order of names, up to maxSecretTurns of them: appends of many routers at
+	// the same time conflict with each other.
+	secretRetry    = 200 * time.Millisecond
+	secretTurn     = 100 * time.Millisecond
+	maxSecretTurns = 20
 	// secretTimeout bounds one attempt.
 	secretTimeout = time.Second
 )
@@ -80,8 +91,9 @@
 // provideSecret gives the fleet a secret if it has none. Of several routers that try, the topic accepts the
 // first: the others append at an end that is outdated then.
 func (m *Members) provideSecret(ctx context.Context) {
+	startedAt := m.options.Timer.Now()
 	for m.currentSecret() == nil {
-		if m.follower.Loaded() {
+		if m.follower.Loaded() && m.options.Timer.Since(startedAt) >= m.secretDelay() {
 			call, cancel := m.options.Timer.WithTimeout(ctx, secretTimeout)
 			_, err := m.options.Topic.AppendAt(call, m.follower.NextOffset(), []jvkeyed.Record{{Key: secretKey, Value: m.options.NewSecret()}})
 			cancel()
@@ -97,6 +109,19 @@
 	}
 }
 
+// secretDelay returns how long after its start this router gives the fleet a secret.
+func (m *Members) secretDelay() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	before := 0
+	for name := range m.byName {
+		if name < m.options.Self.Name {
+			before++
+		}
+	}
+	return secretTurn * time.Duration(min(before, maxSecretTurns)+1)
+}
+
 // Close removes this router from the members, until ctx ends at the latest. Run must be running.
 func (m *Members) Close(ctx context.Context) {
 	m.mu.Lock()
@@ -136,7 +161,41 @@
 }
 
 // Self returns this router.
-func (m *Members) Self() Member { return m.options.Self }
+func (m *Members) Self() Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.options.Self
+}
+
+// Resign publishes that this router holds no budgets for others from now on.
+func (m *Members) Resign() {
+	m.mu.Lock()
+	m.options.Self.Weight = 0
+	m.mu.Unlock()
+	m.register()
+}
+
+// settleTime is how long no new member must have been read before the list counts as settled. Routers of a fleet that
+// starts for the first time register within this time of each other.
+const settleTime = time.Second
+
+// maxSettleTime limits the wait for routers that join one after the other.
+const maxSettleTime = 3 * time.Second
+
+// Settled reports whether the members are known: a router that starts together with its fleet first reads few of them.
+func (m *Members) Settled() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch _, registered := m.byName[m.options.Self.Name]; {
+	case m.loadedAt.IsZero():
+		return false
+	case m.returning, m.options.Self.Address == "":
+		return true
+	case !registered:
+		return false
+	}
+	return m.options.Timer.Since(m.joinedAt) >= settleTime || m.options.Timer.Since(m.loadedAt) >= maxSettleTime
+}
 
 func (m *Members) currentSecret() []byte {
 	m.mu.Lock()
@@ -148,6 +207,10 @@
 func (m *Members) apply(records []jvkeyed.Record, complete bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	first := m.loadedAt.IsZero()
+	if first {
+		m.loadedAt = m.options.Timer.Now()
+	}
 	listed := map[string]bool{}
 	for _, r := range records {
 		m.publisher.Drop(r)
@@ -165,6 +228,9 @@
 			delete(m.byName, name)
 		}
 	}
+	if _, listed := m.byName[m.options.Self.Name]; first {
+		m.returning = listed
+	}
 	m.updateOthers()
 }
 
@@ -185,6 +251,9 @@
 	}
 	// Clocks differ, so a registration counts as at most half as old as it may be.
 	age := min(max(time.Duration(now.UnixMilli()-at)*time.Millisecond, 0), m.options.MaxAge/2)
+	if _, known := m.byName[name]; !known {
+		m.joinedAt = now
+	}
 	m.byName[name] = registered{Member: member, at: now.Add(-age)}
 }
 
--- a/internal/jvmember/options.go
+++ b/internal/jvmember/options.go
@@ -25,6 +25,8 @@
 	// ReadWait is how long one read of the topic waits for records, ReadTimeout bounds it.
 	ReadWait    time.Duration
 	ReadTimeout time.Duration
+	// Gather is as in jvkeyed.Options.
+	Gather func() time.Duration
 	// Interval is the time between two registrations of a router. One that has not registered for MaxAge is
 	// no member any more.
 	Interval time.Duration
--- a/internal/jvmember/record.go
+++ b/internal/jvmember/record.go
@@ -13,6 +13,8 @@
 	routerPrefix = "router/"
 	// secretKey is the key of the fleet's secret, whose record is its bytes.
 	secretKey = "secret"
+	// maxWeight is more processors than any machine has.
+	maxWeight = 1 << 16
 )
 
 // memberRecord is the value of a router's record.
@@ -22,10 +24,12 @@
 	Zone string `cbor:"zone"`
 	// Address is the host:port for other routers.
 	Address string `cbor:"address"`
+	// Weight is missing in records of routers that hold no budgets for others, and of earlier builds.
+	Weight float64 `cbor:"weight,omitempty"`
 }
 
 func encodeMember(m Member, atMillis int64) jvkeyed.Record {
-	return jvkeyed.Record{Key: routerPrefix + m.Name, Value: jvcodec.Encode(memberRecord{At: atMillis, Zone: m.Zone, Address: m.Address})}
+	return jvkeyed.Record{Key: routerPrefix + m.Name, Value: jvcodec.Encode(memberRecord{At: atMillis, Zone: m.Zone, Address: m.Address, Weight: m.Weight})}
 }
 
 // decodeMember decodes a router's record.
@@ -38,5 +42,8 @@
 	if name == "" || !strings.Contains(r.Address, ":") {
 		return m, 0, jvfault.Newf(op, KindMalformed, "the router %q has the address %q", name, r.Address)
 	}
-	return Member{Name: name, Zone: r.Zone, Address: r.Address}, r.At, nil
+	if !(r.Weight >= 0 && r.Weight <= maxWeight) { // Also false for NaN.
+		return m, 0, jvfault.Newf(op, KindMalformed, "the router %q has the weight %v", name, r.Weight)
+	}
+	return Member{Name: name, Zone: r.Zone, Address: r.Address, Weight: r.Weight}, r.At, nil
 }
--- a/internal/jvquarantine/options.go
+++ b/internal/jvquarantine/options.go
@@ -22,6 +22,8 @@
 	// ReadWait is how long one read of the topic waits for records, ReadTimeout bounds it.
 	ReadWait    time.Duration
 	ReadTimeout time.Duration
+	// Gather is as in jvkeyed.Options.
+	Gather func() time.Duration
 	// PartHold is how long a report on a part is held back. It is dropped if a request with the part
 	// completes here in that time, as requests with a sound part that many share do.
 	PartHold time.Duration
--- a/internal/jvquarantine/quarantine.go
+++ b/internal/jvquarantine/quarantine.go
@@ -59,7 +59,7 @@
 	}
 	q.follower = jvkeyed.NewFollower(jvkeyed.Options{
 		Name: o.Name, Topic: o.Topic, Timer: o.Timer, Logger: o.Logger, Random: o.Random,
-		ReadWait: o.ReadWait, ReadTimeout: o.ReadTimeout, Apply: q.apply,
+		ReadWait: o.ReadWait, ReadTimeout: o.ReadTimeout, Gather: o.Gather, Apply: q.apply,
 	})
 	q.publisher = jvkeyed.NewPublisher(jvkeyed.PublisherOptions{
 		Topic: o.Topic, Timer: o.Timer, Logger: o.Logger, Random: o.Random, MaxPending: o.MaxPending,
--- a/internal/jvsetting/relay.go
+++ b/internal/jvsetting/relay.go
@@ -30,6 +30,9 @@
 	// PriorPercent the percentage that they hold before any demand is known.
 	MaxHeldPercent int64 `json:"ahead"`
 	PriorPercent   int64 `json:"prior"`
+	// Holders is the number of routers that hold the budgets in a fleet of more routers. If it is 0, each router
+	// holds a part of each budget.
+	Holders int64 `json:"holders"`
 }
 
 // Retry configures the retry budget of a pool.
@@ -46,6 +49,7 @@
 	maxPort           = 65535
 	maxHorizonSeconds = 600
 	maxPercent        = 100
+	maxHolders        = 1000
 	maxSavedRetries   = 10_000
 	maxLogLevel       = 1
 )
@@ -71,6 +75,7 @@
 	p.CheckRange("budget.horizon", r.Budget.HorizonSeconds, 1, maxHorizonSeconds)
 	p.CheckRange("budget.ahead", r.Budget.MaxHeldPercent, 1, maxPercent)
 	p.CheckRange("budget.prior", r.Budget.PriorPercent, 0, maxPercent)
+	p.CheckRange("budget.holders", r.Budget.Holders, 0, maxHolders)
 	p.CheckRange("retry.share", r.Retry.SharePercent, 0, maxPercent)
 	p.CheckRange("retry.saved", r.Retry.MaxSaved, 0, maxSavedRetries)
 	p.CheckRange("log.level", r.Log.Level, 0, maxLogLevel)
--- a/internal/jvversion/history.go
+++ b/internal/jvversion/history.go
@@ -48,7 +48,7 @@
 	h := &history{options: o, states: map[string]*versionState{}}
 	h.follower = jvkeyed.NewFollower(jvkeyed.Options{
 		Name: o.Name, Topic: o.Topic, Timer: o.Timer, Logger: o.Logger, Random: o.Random,
-		ReadWait: o.ReadWait, ReadTimeout: o.ReadTimeout, Apply: h.apply,
+		ReadWait: o.ReadWait, ReadTimeout: o.ReadTimeout, Gather: o.Gather, Apply: h.apply,
 	})
 	h.publisher = jvkeyed.NewPublisher(jvkeyed.PublisherOptions{
 		Topic: o.Topic, Timer: o.Timer, Logger: o.Logger, Random: o.Random, MaxPending: maxPending,
--- a/internal/jvversion/options.go
+++ b/internal/jvversion/options.go
@@ -29,6 +29,8 @@
 	// ReadWait is how long one read of the topic waits for records, ReadTimeout bounds it.
 	ReadWait    time.Duration
 	ReadTimeout time.Duration
+	// Gather is as in jvkeyed.Options.
+	Gather func() time.Duration
 	// Window is how long a version counts after its last target is gone. It is longer than any stream.
 	Window time.Duration
 	// StreamLifetime is the longest time from the first event of a stream until it is resumed.
