--- a/internal/jvloan/loans.go
+++ b/internal/jvloan/loans.go
@@ -270,6 +270,13 @@
 	return len(l.options.Others()) + 1, true
 }
 
+// RegisterGauges registers the numbers of open reservations for other routers, and of own ones at other routers whose end is
+// not confirmed.
+func (l *Loans) RegisterGauges(register func(name string, read func() float64)) {
+	register("jv_loans_lent", func() float64 { return float64(l.lender.Open()) })
+	register("jv_loans_unsettled", func() float64 { return float64(l.borrower.unsettled()) })
+}
+
 // Dump is the state of Loans.
 type Dump struct {
 	jvgrant.Dump
