Routers that held parts of budgets return them, once

Found by review: after an upgrade each router has a statement of its own on the store. A router that is no holder now compares its last statement with its holdings first, by reads only, and a retired one stops after it has published what it used. The end of a process returns its holdings before it waits for confirmations of holders, which may be gone.

--- a/internal/jvgrant/allocator.go
+++ b/internal/jvgrant/allocator.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jasminevale/jasminevale/internal/jvescrow"
+	"github.com/jasminevale/jasminevale/internal/jvfault"
 	"github.com/jasminevale/jasminevale/internal/jvkeyed"
 )
 
@@ -139,23 +140,26 @@
 	a.policy = a.options.Policy
 }
 
-// Retired reports whether the router has retired and holds no tokens any more but those of requests in progress.
+// Retired reports whether the router has retired, holds no tokens any more, and has published that.
 func (a *Allocator) Retired() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !a.leaving || !a.restored || a.publisher.inDoubt {
+	if !a.leaving || !a.restored || a.publisher.inDoubt || a.publisher.published == nil {
 		return false
 	}
 	for _, w := range a.budgets() {
 		account := a.escrow.Account(w)
-		if h, _ := a.fleet.Holding(w, a.options.Router); account.Available() > 0 || account.Reserved > 0 || account.Returned != h.Returned {
+		h, _ := a.fleet.Holding(w, a.options.Router)
+		r, _ := a.publisher.published.row(w)
+		if account.Available() > 0 || account.Reserved > 0 || account.Returned != h.Returned || r.Used+r.Lost < h.Net() {
 			return false
 		}
 	}
 	return true
 }
 
-// HeldBefore reports whether an earlier process of this router has published a statement, and so may hold tokens.
+// HeldBefore reports whether an earlier process of this router may still hold tokens: it has published a statement, and has
+// taken more than that has as used or lost.
 func (a *Allocator) HeldBefore(ctx context.Context) (bool, error) {
 	if !a.startRound(ctx) {
 		return false, ctx.Err()
@@ -165,9 +169,25 @@
 		return false, err
 	}
 	a.mu.Lock()
+	last, found := a.fleet.statements[a.options.Router]
+	a.mu.Unlock()
+	if !found {
+		return false, nil
+	}
+	unread := a.eachPartition(ctx, a.allPartitions(), func(ctx context.Context, number int) bool {
+		return a.callTopic(ctx, func(ctx context.Context) error { return a.partitions[number].follower.Poll(ctx, 0) }) != nil
+	})
+	if unread {
+		return false, jvfault.Newf("read holdings", KindUnready, "a partition does not respond")
+	}
+	a.mu.Lock()
 	defer a.mu.Unlock()
-	_, found := a.fleet.statements[a.options.Router]
-	return found, nil
+	for w, holdings := range a.fleet.holdings {
+		if r, _ := last.row(w); holdings[a.options.Router].Net() > r.Used+r.Lost {
+			return true, nil
+		}
+	}
+	return false, nil
 }
 
 // Close returns all unreserved tokens to the budgets, until ctx ends at the latest. No more tokens are taken
--- a/internal/jvloan/fleet_test.go
+++ b/internal/jvloan/fleet_test.go
@@ -100,6 +100,7 @@
 	routers    []*Loans
 	byName     map[string]*Loans
 	workspaces []string
+	stop       func()
 	timer      *jvtimer.Service
 	startedAt  time.Time
 
@@ -164,6 +165,25 @@
 	go l.Run(ctx)
 }
 
+// startAll starts n routers in five zones.
+func (f *fleet) startAll(n int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	f.stop = cancel
+	f.routers = nil
+	for i := range n {
+		f.start(ctx, fmt.Sprint("r", i), fmt.Sprint("z", i%5))
+	}
+}
+
+// grantAppends returns the number of appends of holdings so far.
+func (f *fleet) grantAppends() (sum int) {
+	for n := range 16 {
+		appends, _ := f.topics[fmt.Sprint("grants", n)].Calls()
+		sum += appends
+	}
+	return sum
+}
+
 func (f *fleet) send(to, from string, data []byte) {
 	time.AfterFunc(time.Millisecond, func() {
 		_ = f.byName[to].Receive(data, func(reply []byte) { f.send(from, to, reply) })
@@ -210,9 +230,7 @@
 			f.workspaces = append(f.workspaces, fmt.Sprint("w", i))
 		}
 		ctx, cancel := context.WithCancel(context.Background())
-		for i := range n {
-			f.start(ctx, fmt.Sprint("r", i), fmt.Sprint("z", i%5))
-		}
+		f.startAll(n)
 		servers := f.topic("servers")
 		for i := range 128 {
 			go func() {
@@ -224,6 +242,7 @@
 		}
 		time.Sleep(10 * time.Second)
 		test(f)
+		f.stop()
 		cancel()
 		f.timer.Close()
 		time.Sleep(time.Minute)
@@ -261,3 +280,29 @@
 	}
 	require.Less(t, refused[12], refused[0]/4)
 }
+
+// TestRoutersThatHeldReturn guards against tokens that are lost for all others, and against a herd of writers at each restart,
+// where routers held parts of their own before, as those of earlier builds do: 83 of them are replaced.
+func TestRoutersThatHeldReturn(t *testing.T) {
+	inFleet(t, 83, 0, true, func(f *fleet) {
+		f.serve(100, 5*time.Second)
+		f.holders = 12
+		f.stop()
+		f.startAll(83)
+		time.Sleep(20 * time.Second)
+		before := f.grantAppends()
+		f.stop()
+		f.startAll(83)
+		time.Sleep(20 * time.Second)
+		t.Logf("%d appends of holdings in a later restart of all", f.grantAppends()-before)
+		if f.grantAppends()-before > 12*16*4 {
+			t.Error("routers that hold nothing write")
+		}
+		for _, l := range f.routers {
+			held, err := l.options.Allocator.HeldBefore(context.Background())
+			if err != nil || (held && l.Role() != RoleHolder) {
+				t.Errorf("%s is a %s and holds tokens: %v, %v", l.options.Self().Name, l.Role(), held, err)
+			}
+		}
+	})
+}
--- a/internal/jvloan/lender.go
+++ b/internal/jvloan/lender.go
@@ -28,7 +28,7 @@
 }
 
 // endedAge is longer than any message is on its way.
-const endedAge = time.Minute
+const endedAge = 20 * time.Second
 
 // lender makes reservations for other routers out of what this one holds.
 type lender struct {
--- a/internal/jvloan/loans.go
+++ b/internal/jvloan/loans.go
@@ -251,15 +251,21 @@
 	l.options.Allocator.Leave(serving)
 }
 
-// Close returns what this router holds and waits until what it has borrowed is settled, until ctx ends at the latest.
+// closeTime is how long the end of the process waits for confirmations of holders, some of which may be gone.
+const closeTime = 300 * time.Millisecond
+
+// Close returns what this router holds, until ctx ends at the latest, and waits for a short time until what it has borrowed is
+// settled.
 func (l *Loans) Close(ctx context.Context) {
+	l.options.Allocator.Close(ctx)
+	ctx, cancel := l.options.Timer.WithTimeout(ctx, closeTime)
+	defer cancel()
 	for l.borrower.unsettled() > 0 && ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
 		case <-l.options.Timer.After(resendInterval):
 		}
 	}
-	l.options.Allocator.Close(ctx)
 }
 
 // CountRouters returns the number of routers in the fleet, and false if the number may be outdated.
