--- a/internal/jvloan/fleet_test.go
+++ b/internal/jvloan/fleet_test.go
@@ -32,6 +32,13 @@
 	mu             sync.Mutex
 }
 
+// cut makes all calls fail from now on.
+func (s *store) cut() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = true
+}
+
 // call counts a call and returns the error for it, or nil.
 func (s *store) call(write bool) error {
 	time.Sleep(4 * time.Millisecond)
@@ -271,7 +278,7 @@
 	for _, holders := range []int{0, 12} {
 		inFleet(t, 83, holders, true, func(f *fleet) {
 			f.serve(300, 5*time.Second)
-			f.store.away = true
+			f.store.cut()
 			f.serve(300, 8*time.Second)
 			t.Logf("%d holders: %d calls; %d requests served, %d refused", holders, f.store.total, f.served, f.refused)
 			refused[holders] = f.refused
--- a/internal/jvloan/history_test.go
+++ b/internal/jvloan/history_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -58,25 +60,33 @@
 	routers map[string]*router
 	// faults are drawn ahead; each message takes the next one.
 	faults []int
+	mu     sync.Mutex
 	sent   int
 	calm   bool
 }
 
+// draw returns what happens to the next message, and a number that differs each time.
+func (n *network) draw() (fault, number int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.sent++
+	if n.calm {
+		return 0, n.sent
+	}
+	return n.faults[n.sent%len(n.faults)], n.sent
+}
+
 type router struct {
 	network *network
 	member  jvmember.Member
 	pot     *pot
-	loans   *Loans
+	loans   atomic.Pointer[Loans]
 	open    []jvescrow.Reservation
 }
 
 func (n *network) send(to string, data []byte) {
 	r := n.routers[to]
-	fault := 0
-	if !n.calm {
-		fault = n.faults[n.sent%len(n.faults)]
-	}
-	n.sent++
+	fault, _ := n.draw()
 	deliver := func(delay time.Duration) {
 		time.AfterFunc(delay, func() {
 			m, err := decodeMessage(data)
@@ -84,19 +94,20 @@
 				panic(err)
 			}
 			key := loanKey{m.Router, m.Process, m.Number}
+			l := r.loans.Load()
 			if n.mutant == mutantLate && m.Operation == operationSettle {
 				defer func() {
-					r.loans.lender.mu.Lock()
-					delete(r.loans.lender.loans, key)
-					r.loans.lender.mu.Unlock()
+					l.lender.mu.Lock()
+					delete(l.lender.loans, key)
+					l.lender.mu.Unlock()
 				}()
 			}
-			r.loans.lender.mu.Lock()
-			if o := r.loans.lender.loans[key]; n.mutant == mutantTwice && m.Operation == operationSettle && o != nil && o.ended {
+			l.lender.mu.Lock()
+			if o := l.lender.loans[key]; n.mutant == mutantTwice && m.Operation == operationSettle && o != nil && o.ended {
 				o.granted = true
 			}
-			r.loans.lender.mu.Unlock()
-			_ = r.loans.Receive(data, func(reply []byte) { n.send(m.Router, reply) })
+			l.lender.mu.Unlock()
+			_ = l.Receive(data, func(reply []byte) { n.send(m.Router, reply) })
 		})
 	}
 	switch fault {
@@ -123,17 +134,21 @@
 func (n *network) start(r *router) {
 	o := DefaultOptions()
 	o.Allocator, o.Timer, o.Logger = r.pot, jvtimer.NewService(), logr.Discard()
-	o.Random = func() float64 { n.sent++; return float64(n.sent%1000) / 1000 }
+	o.Random = func() float64 {
+		_, number := n.draw()
+		return float64(number%1000) / 1000
+	}
 	o.Self = func() jvmember.Member { return r.member }
 	o.Send = func(to jvmember.Member, data []byte) { n.send(to.Name, data) }
 	o.Holders = testHolders
-	r.loans = New(o)
+	l := New(o)
 	var all []jvmember.Member
 	for _, other := range n.routers {
 		all = append(all, other.member)
 	}
-	r.loans.layout = NewLayout(all, o.Holders)
-	r.loans.role = RoleBorrower
+	l.layout = NewLayout(all, o.Holders)
+	l.role = RoleBorrower
+	r.loans.Store(l)
 	r.open = nil
 }
 
@@ -157,9 +172,9 @@
 			case 0, 1, 2, 3:
 				ctx, cancel := context.WithTimeout(context.Background(), 150*time.Millisecond)
 				tokens := int64(200 + s%3000)
-				number := r.loans.borrower.last
-				got, err := r.loans.Reserve(ctx, testWorkspace, tokens)
-				if m == mutantUnproved && err != nil && number != r.loans.borrower.last {
+				number := r.loans.Load().borrower.last
+				got, err := r.loans.Load().Reserve(ctx, testWorkspace, tokens)
+				if m == mutantUnproved && err != nil && number != r.loans.Load().borrower.last {
 					used += tokens
 				}
 				cancel()
@@ -173,22 +188,22 @@
 					r.open = r.open[1:]
 					part := end.Tokens * int64(s%101) / 100
 					used -= end.Tokens - part
-					r.loans.Settle(end, part)
+					r.loans.Load().Settle(end, part)
 				}
 			case 6:
 				time.Sleep(time.Duration(s%3000) * time.Millisecond)
 				for _, o := range n.routers {
-					o.loans.borrower.resend()
-					o.loans.lender.expire()
+					o.loans.Load().borrower.resend()
+					o.loans.Load().lender.expire()
 				}
 			case 7: // The next process knows only what the one before may have spent: all that it had committed.
 				killed = true
 				if m != mutantRestart {
 					r.pot.escrow.CloseAndSettle()
 				}
-				fresh := jvescrow.NewEscrow()
-				fresh.Restore(testWorkspace, potTokens, 0, r.pot.escrow.Account(testWorkspace).Spent)
-				r.pot.escrow = fresh
+				fresh := &pot{escrow: jvescrow.NewEscrow()}
+				fresh.escrow.Restore(testWorkspace, potTokens, 0, r.pot.escrow.Account(testWorkspace).Spent)
+				r.pot = fresh
 				n.start(r)
 			}
 			committed := int64(0)
@@ -206,16 +221,18 @@
 				return
 			}
 		}
+		n.mu.Lock()
 		n.calm = true
+		n.mu.Unlock()
 		for _, r := range n.routers {
 			for _, o := range r.open {
-				r.loans.Settle(o, o.Tokens)
+				r.loans.Load().Settle(o, o.Tokens)
 			}
 		}
 		for range 2 * maxSettles {
 			time.Sleep(maxSettleInterval)
 			for _, o := range n.routers {
-				o.loans.borrower.resend()
+				o.loans.Load().borrower.resend()
 			}
 		}
 		for _, r := range n.routers {
