--- a/internal/jvloan/holders.go
+++ b/internal/jvloan/holders.go
@@ -86,9 +86,14 @@
 func hash(name, key string) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(name + "\n" + key)) // A hash never returns an error.
-	// The last bytes of similar names change few bits of FNV; this spreads them.
 	v := h.Sum64()
-	v ^= v >> 33
-	v *= 0xff51afd7ed558ccd
-	return v ^ v>>33
+	v ^= v >> finalShift
+	v *= finalFactor
+	return v ^ v>>finalShift
 }
+
+// The last bytes of similar names change few bits of FNV-1a; a step of the finalizer of MurmurHash3 spreads them.
+const (
+	finalShift  = 33
+	finalFactor = 0xff51afd7ed558ccd
+)
