review: late, LIMIT: a removal that the store does late takes away a newer limit

While 0.35 of the store's writes are done 1 to 6 s late and not answered (4.5 s), a removal of a target's limit that was repeated and replaced long before is done once more, and all routers drop the limit at once: jvkeyed's publisher appends without a producer's number, jvlimit applies the removal. Shown by target/review-stage late: one to three engines get up to 99 to 179 requests in 4 s where 59 are allowed. No case: no work is lost by it.

--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -59,7 +59,7 @@
 		fmt.Fprintln(os.Stderr, "usage: stage CASE REPOSITORY RECORD")
 		return resultNotRun
 	}
-	cases := map[string]func(*play) int{"budget": playBudget, "config": playConfig, "order": playOrder, "path": playPath, "poison": playPoison, "split": playSplit, "begun": playBegun, "canary": playCanary, "leave": playLeave, "ids": playIDs, "headers": playHeaders, "bodies": playBodies, "frozen": playFrozen, "strides": playStrides, "term": playTerm, "digest": playDigest, "tag": playTag, "weights": playWeights}
+	cases := map[string]func(*play) int{"budget": playBudget, "config": playConfig, "order": playOrder, "path": playPath, "poison": playPoison, "split": playSplit, "begun": playBegun, "canary": playCanary, "leave": playLeave, "ids": playIDs, "headers": playHeaders, "bodies": playBodies, "frozen": playFrozen, "strides": playStrides, "term": playTerm, "digest": playDigest, "tag": playTag, "weights": playWeights, "late": playLate}
 	c, ok := cases[os.Args[1]]
 	if !ok {
 		return resultNotRun
--- a/review/stage/server.go
+++ b/review/stage/server.go
@@ -42,6 +42,42 @@
 	left    chan struct{}
 	http    *http.Server
 	lights
+	// needs is what the server says in Server-Limit, or empty; arrived is called with the id of each request that reaches it,
+	// and may be nil. most is the number of requests that it takes at once, without a limit if it is 0.
+	needs   string
+	arrived func(id string)
+	most    int
+	running int
+}
+
+// need changes what the server says in Server-Limit.
+func (t *target) need(limit string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.needs = limit
+}
+
+// enter begins a request, unless the server has no room, and says how it is in the head of the answer.
+func (t *target) enter(h http.Header) (ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ok = t.most == 0 || t.running < t.most
+	if ok {
+		t.running++
+	}
+	if t.needs != "" {
+		h.Set("Server-Limit", t.needs)
+	}
+	if t.most > 0 {
+		h.Set("X-Server-Load", fmt.Sprintf("%d,0,%d", t.running, t.most))
+	}
+	return ok
+}
+
+func (t *target) leaveRequest() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.running--
 }
 
 // stride is the number of tokens of an event.
@@ -134,6 +170,16 @@
 		w.Header().Set("X-Instance-Id", t.id)
 		return
 	}
+	if t.arrived != nil {
+		t.arrived(r.Header.Get("X-Request-Id"))
+	}
+	if !t.enter(w.Header()) {
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer t.leaveRequest()
 	t.mu.Lock()
 	t.ran++
 	version := t.version
--- a/review/stage/store.go
+++ b/review/stage/store.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/url"
@@ -52,6 +53,18 @@
 	changed    chan struct{}
 	era        int
 	away       bool
+	// lateShare of the appends get no answer and are done 1 to 6 s later.
+	lateShare float64
+
+	// doneLate is called for each append that is done late; it may be nil.
+	doneLate func(topic string, list []record, delay time.Duration)
+}
+
+// loseAnswers makes a share of the appends late and without an answer.
+func (s *store) loseAnswers(share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lateShare = share
 }
 
 func newStore(address string) (*store, error) {
@@ -207,6 +220,14 @@
 	}
 	time.Sleep(appendTime)
 	s.mu.Lock()
+	if rand.Float64() < s.lateShare {
+
+		s.mu.Unlock()
+		delay := time.Second + time.Duration(rand.Int64N(int64(5*time.Second)))
+		time.AfterFunc(delay, func() { s.doLate(query, list, delay) })
+		<-r.Context().Done() // No answer; the caller gives up.
+		panic(http.ErrAbortHandler)
+	}
 	defer s.mu.Unlock()
 	if s.away {
 		panic(http.ErrAbortHandler)
@@ -225,6 +246,32 @@
 	writeJSON(w, http.StatusOK, map[string]any{"offset": end, "end": uint64(len(p.records))})
 }
 
+// discarded is the answer to an append that gets none.
+type discarded struct{ header http.Header }
+
+func (d discarded) Header() http.Header          { return d.header }
+func (discarded) Write(data []byte) (int, error) { return len(data), nil }
+func (discarded) WriteHeader(int)                {}
+
+// doLate does an append later, if its condition still holds.
+func (s *store) doLate(query url.Values, list []record, delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.find(query.Get("topic"), query.Get("part"))
+	end := uint64(len(p.records))
+	if at := query.Get("at"); at != "" && at != strconv.FormatUint(end, 10) {
+		return
+	}
+	if name := query.Get("producer"); name != "" && !p.takeNumber(discarded{http.Header{}}, name, query, len(list)) {
+		return
+	}
+	p.records = append(p.records, list...)
+	if s.doneLate != nil {
+		s.doneLate(query.Get("topic"), list, delay)
+	}
+	s.wake()
+}
+
 // takeNumber checks the number of an append, and answers the ones that are not done; the store's lock must be held.
 func (p *partition) takeNumber(w http.ResponseWriter, name string, query url.Values, count int) bool {
 	epoch, _ := strconv.ParseUint(query.Get("epoch"), 10, 64)
