Evacuated zones get no requests; cold targets have a limit of all routers

A cold target had no bound but its slots. jvtarget leaves out evacuated zones wherever a target is selected, waited for or counted. jvlimit divides the rate of a cold target as it divides a limit that a target names; it is not published, since all routers read the same records.

--- a/internal/jvlimit/limit.go
+++ b/internal/jvlimit/limit.go
@@ -16,6 +16,8 @@
 	// usedPeriod is the number of the period in which saved was earned.
 	usedPeriod int64
 	selection  selection
+	// endsAt is when the limit of a cold target ends.
+	endsAt time.Time
 }
 
 // selection is what this router may send of a limit in a period.
@@ -83,18 +85,34 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	t := l.limits[target]
-	if t == nil {
-		return 0, false
-	}
 	now := l.options.Timer.Now()
+	for _, t := range []*limit{l.limits[target], l.coldLimit(target, now)} {
+		if t != nil {
+			wait, limited = max(wait, l.waitFor(target, t, now)), true
+		}
+	}
+	return wait, limited
+}
+
+// waitFor returns how long this router has to wait by one limit of a target, or 0 if it may send a request now; l.mu must be
+// held. The wait for a cold target ends with its limit.
+func (l *Limits) waitFor(target string, t *limit, now time.Time) time.Duration {
+	wait := l.waitIn(target, t, now)
+	if !t.endsAt.IsZero() {
+		wait = min(wait, t.endsAt.Sub(now))
+	}
+	return max(wait, 0)
+}
+
+// waitIn is waitFor for a limit without an end; l.mu must be held.
+func (l *Limits) waitIn(target string, t *limit, now time.Time) time.Duration {
 	s := l.earn(target, t, now)
 	if s.rate > 0 {
-		return duration((1 - t.saved) / s.rate), true
+		return duration((1 - t.saved) / s.rate)
 	}
 	begin := time.Duration(s.next*int64(l.options.Sharing.period(t.value)) - l.options.Clock().UnixNano())
 	senders := l.options.Sharing.senders(t.value, max(len(l.names), 1))
-	return max(begin, 0) + duration(float64(senders)/l.options.Sharing.usable(t.value)), true
+	return max(begin, 0) + duration(float64(senders)/l.options.Sharing.usable(t.value))
 }
 
 // duration returns a number of seconds as a duration, at most maxPeriod: those of limits of almost 0 are out of
@@ -110,13 +128,19 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if t := l.limits[target]; t != nil {
-		t.saved--
+	for _, t := range []*limit{l.limits[target], l.coldLimit(target, l.options.Timer.Now())} {
+		if t != nil {
+			t.saved--
+		}
 	}
 }
 
 // Count returns the number of targets that name a limit.
-func (l *Limits) Count() int { return int(l.count.Load()) }
+func (l *Limits) Count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.limits)
+}
 
 // Entry is one limit as the operations port shows it.
 type Entry struct {
@@ -124,6 +148,8 @@
 	// Limit is in requests a second of all routers together, Rate what this router may send of it now.
 	Limit float64 `json:"limit"`
 	Rate  float64 `json:"rate"`
+	// Cold is true for the limit of a target that is cold.
+	Cold bool `json:"cold"`
 }
 
 // Dump is the state of Limits as the operations port shows it.
@@ -143,5 +169,8 @@
 	for target, t := range l.limits {
 		d.Entries = append(d.Entries, Entry{Target: target, Limit: t.value, Rate: l.earn(target, t, now).rate})
 	}
+	for target, t := range l.cold {
+		d.Entries = append(d.Entries, Entry{Target: target, Limit: t.value, Rate: l.earn(target, t, now).rate, Cold: true})
+	}
 	return d
 }
--- a/internal/jvlimit/limits.go
+++ b/internal/jvlimit/limits.go
@@ -21,6 +21,8 @@
 
 	mu     sync.Mutex
 	limits map[string]*limit
+	// cold are the limits of targets that are cold.
+	cold map[string]*limit
 	// members are the routers with the time of their last registration on this router's steady clock,
 	// names their names in order.
 	members map[string]time.Time
@@ -35,7 +37,7 @@
 
 // New returns Limits that know none.
 func New(o Options) *Limits {
-	l := &Limits{options: o, limits: map[string]*limit{}, members: map[string]time.Time{}, started: map[string]int64{}}
+	l := &Limits{options: o, limits: map[string]*limit{}, cold: map[string]*limit{}, members: map[string]time.Time{}, started: map[string]int64{}}
 	l.follower = jvkeyed.NewFollower(jvkeyed.Options{
 		Name: o.Name, Topic: o.Topic, Timer: o.Timer, Logger: o.Logger, Random: o.Random,
 		ReadWait: o.ReadWait, ReadTimeout: o.ReadTimeout, Gather: o.Gather, Apply: l.apply,
@@ -107,8 +109,10 @@
 // updateNames derives the names of the members; l.mu must be held.
 func (l *Limits) updateNames() {
 	l.names = slices.Sorted(maps.Keys(l.members))
-	for _, t := range l.limits {
-		t.selection = selection{}
+	for _, limits := range []map[string]*limit{l.limits, l.cold} {
+		for _, t := range limits {
+			t.selection = selection{}
+		}
 	}
 }
 
@@ -143,7 +147,7 @@
 	if t == nil || t.startedAtMillis != startedAtMillis {
 		t = &limit{startedAtMillis: startedAtMillis, knownAt: now}
 		l.limits[target] = t
-		l.count.Store(int32(len(l.limits)))
+		l.updateCount()
 	}
 	t.value = value
 	t.selection = selection{}
@@ -158,7 +162,7 @@
 		return
 	}
 	delete(l.limits, target)
-	l.count.Store(int32(len(l.limits)))
+	l.updateCount()
 	l.options.Logger.Info("target names no limit any more", "target", target, "limit", t.value)
 }
 
--- a/internal/jvrelay/attempt.go
+++ b/internal/jvrelay/attempt.go
@@ -75,6 +75,9 @@
 		r.targets.RecordLoad(a.pool, d.Target.Name, *response.Load)
 	}
 	r.hearLimit(a, response)
+	if response.ColdFor != nil && !response.WrongInstance {
+		r.registry.hearCold(d.Target.Name, r.registry.startedAt(d.Target.Name), *response.ColdFor)
+	}
 	r.recordSigns(a, response)
 	if response.Brittle && (response.Signed || response.Refused) && !response.WrongInstance && r.targets.RecordBrittle(a.pool) {
 		r.options.Logger.Info("targets are brittle", "pool", a.pool, "target", d.Target.Name)
--- a/internal/jvrelay/dump.go
+++ b/internal/jvrelay/dump.go
@@ -22,7 +22,9 @@
 	Retries map[string]float64 `json:"retries"`
 	Routers int                `json:"routers"`
 	Budgets any                `json:"budgets"`
-	// Limits are the limits that targets name.
+	// Evacuated are the availability zones whose targets get no requests.
+	Evacuated []string `json:"evacuated"`
+	// Limits are the limits of targets, by which they are cold or that they name.
 	Limits any `json:"limits"`
 	// Versions are the versions of targets, Members the other routers of the fleet.
 	Versions any `json:"versions"`
@@ -36,7 +38,7 @@
 
 // Dump returns the relay's state.
 func (r *Relay) Dump() Dump {
-	d := Dump{At: r.options.Timer.Now(), Active: r.Active(), Pools: r.targets.Views(), Retries: r.retries.saved(), Routers: r.retries.fleetSize(), Reach: r.options.Reach.Dump()}
+	d := Dump{At: r.options.Timer.Now(), Active: r.Active(), Pools: r.targets.Views(), Retries: r.retries.saved(), Routers: r.retries.fleetSize(), Reach: r.options.Reach.Dump(), Evacuated: r.evacuations.list()}
 	_, d.NotReadyReason = r.Ready()
 	if t := r.table.Load(); t != nil {
 		d.Version = t.Version()
@@ -61,6 +63,8 @@
 	r.options.Meter.Gauge("jv_relay_backoff_targets", func() float64 { return float64(r.targets.CountBackoff()) })
 	r.options.Meter.Gauge("jv_relay_doubted_targets", func() float64 { return float64(r.targets.CountDoubted()) })
 	r.options.Meter.Gauge("jv_relay_limited_targets", func() float64 { return float64(r.options.Limits.Count()) })
+	r.options.Meter.Gauge("jv_relay_cold_targets", func() float64 { return float64(r.options.Limits.CountCold()) })
+	r.options.Meter.Gauge("jv_relay_evacuated_zones", func() float64 { return float64(len(r.evacuations.list())) })
 	r.options.Meter.Gauge("jv_relay_config_version", func() float64 {
 		if t := r.table.Load(); t != nil {
 			return float64(t.Version())
--- a/internal/jvrelay/entry.go
+++ b/internal/jvrelay/entry.go
@@ -1,6 +1,10 @@
 package jvrelay
 
-import "github.com/jasminevale/jasminevale/internal/jvconfig"
+import (
+	"time"
+
+	"github.com/jasminevale/jasminevale/internal/jvconfig"
+)
 
 // Entry is a target's own entry in the list of targets.
 type Entry struct {
@@ -10,6 +14,8 @@
 	Leaving bool
 	// StartedAtMillis is the start of the target's process, in Unix milliseconds of its own clock.
 	StartedAtMillis int64
+	// ColdFor is how long the target stays cold from the time at which its entry was written, or -1 if the entry doesn't say.
+	ColdFor time.Duration
 	// Sequence is higher in each record that the target's process writes, or 0 if the record has none.
 	Sequence uint64
 }
--- a/internal/jvrelay/options.go
+++ b/internal/jvrelay/options.go
@@ -53,8 +53,12 @@
 	Hear(target string, startedAtMillis int64, sentAt time.Time, named *float64)
 	// Retain forgets the limits of processes that have been replaced.
 	Retain(started map[string]int64)
-	// Count returns the number of targets that name a limit.
+	// SetCold gives a target a limit in requests a second of all routers together until a time, in which it is cold. A
+	// rate of 0 ends that.
+	SetCold(target string, rate float64, until time.Time)
+	// Count returns the number of targets that name a limit, CountCold that of targets with a limit since they are cold.
 	Count() int
+	CountCold() int
 }
 
 // Versions knows at which versions of targets' software streams began.
--- a/internal/jvrelay/registry.go
+++ b/internal/jvrelay/registry.go
@@ -44,6 +44,11 @@
 	// graceEnd is when the current grace period ends.
 	graceEnd time.Time
 	loaded   bool
+	// coldRate returns the number of requests a second that a cold target of a pool takes, or 0 if it takes as many as a
+	// warm one.
+	coldRate func(pool string) float64
+	// coldUntil is until when targets are cold.
+	coldUntil map[string]time.Time
 }
 
 // removal is the last record of a removed target, and the time of the removal.
@@ -56,7 +61,7 @@
 // goneTime is how long a removed target's last record is known. A copy from which a log comes back is some seconds old.
 const goneTime = time.Minute
 
-func newRegistry(o Options, targets *jvtarget.Table, crashes *crashDetector) *Registry {
+func newRegistry(o Options, targets *jvtarget.Table, crashes *crashDetector, coldRate func(string) float64) *Registry {
 	return &Registry{
 		timer:          o.Timer,
 		logger:         o.Logger,
@@ -73,6 +78,8 @@
 		gone:           map[string]removal{},
 		displaced:      map[string]bool{},
 		unverified:     map[string]time.Time{},
+		coldRate:       coldRate,
+		coldUntil:      map[string]time.Time{},
 	}
 }
 
@@ -111,13 +118,14 @@
 			continue
 		}
 		delete(g.gone, id)
+		g.updateCold(id, *e)
 		g.written[id] = written{startedAtMillis: e.StartedAtMillis, sequence: e.Sequence}
 		delete(g.missing, id)
 		delete(g.displaced, id)
 		g.crashes.entrySeen(*e)
 		old, ok := g.entries[id]
-		old.Sequence = e.Sequence   // It changes with each heartbeat.
-		if !complete || old != *e { // A listing also has entries that were written before the process ended.
+		old.Sequence, old.ColdFor = e.Sequence, e.ColdFor // They change with each heartbeat.
+		if !complete || old != *e {                       // A listing also has entries that were written before the process ended.
 			delete(g.unverified, id)
 		}
 		if !ok || old != *e {
@@ -179,6 +187,7 @@
 	delete(g.written, id)
 	delete(g.displaced, id)
 	delete(g.unverified, id)
+	g.warm(id)
 	g.logger.Info("target gone", "target", id, "why", reason)
 }
 
--- a/internal/jvrelay/relay.go
+++ b/internal/jvrelay/relay.go
@@ -18,7 +18,9 @@
 	targets  *jvtarget.Table
 	registry *Registry
 	crashes  *crashDetector
-	active   atomic.Int64
+	// evacuations are the availability zones whose targets get no requests.
+	evacuations *evacuations
+	active      atomic.Int64
 	// stop has the times of a planned stop, or nil.
 	stop atomic.Pointer[stopTimes]
 	// drained is true once the drain of a stop has ended.
@@ -42,10 +44,13 @@
 	r.targets = jvtarget.NewTableWith(o.Zone, o.Timer, o.Random.Float, o.Weights, o.Limits).
 		WithLateDrain(o.LateDrain).WithUnreachable(o.Reach.Unreachable).WithSharers(o.Reach.Sharers)
 	r.crashes = newCrashDetector(o)
-	r.registry = newRegistry(o, r.targets, r.crashes)
+	r.registry = newRegistry(o, r.targets, r.crashes, r.coldRate)
+	r.evacuations = newEvacuations(o, r.targets, r.registry.hasTargets)
 	o.Timer.Every(expireInterval, func() {
 		r.registry.expireMissing()
 		r.registry.verify()
+		r.registry.expireCold()
+		r.evacuations.expire()
 		r.crashes.expire()
 		r.retries.resize()
 	})
@@ -74,6 +79,7 @@
 		}
 		if r.table.CompareAndSwap(old, t) {
 			r.options.Logger.Info("configuration in force", "version", t.Version(), "routes", t.RouteCount(), "workspaces", len(t.Workspaces()))
+			r.registry.ratesChanged()
 			return
 		}
 	}
--- a/internal/jvrelay/sender.go
+++ b/internal/jvrelay/sender.go
@@ -80,6 +80,8 @@
 	Leaving bool
 	// RetryAfter is how long the target wants no requests of this router, or 0.
 	RetryAfter time.Duration
+	// ColdFor is how long the target stays cold, or nil if the response doesn't say.
+	ColdFor *time.Duration
 	// Load is the target's load report, or nil.
 	Load *jvtarget.Load
 	// Target is the target that another router selected, and StartedAtMillis the start of its process.
--- a/internal/jvtarget/acquire.go
+++ b/internal/jvtarget/acquire.go
@@ -109,7 +109,7 @@
 }
 
 func (p *pool) noTargetError(t *Table, q Request) error {
-	leaving, versions, paused, unreachable := 0, 0, 0, 0
+	leaving, versions, paused, unreachable, evacuated := 0, 0, 0, 0, 0
 	now := t.timer.Now()
 	for name, g := range p.targets {
 		if accepted, _ := t.inService(g, q); accepted && q.acceptsVersion(g.config) && t.unreachable(name) {
@@ -118,6 +118,9 @@
 		if t.isLeaving(g) {
 			leaving++
 		}
+		if t.isEvacuated(g) {
+			evacuated++
+		}
 		if !q.acceptsVersion(g.config) {
 			versions++
 		}
@@ -125,8 +128,8 @@
 			paused++
 		}
 	}
-	refusal := newRefusal(KindNoTarget, minRetryAfter, "no target of pool %s accepts requests: %d in all, %d leaving, %d paused, %d avoided after failures, %d of other versions than %q, %d unreachable from here",
-		q.Pool, len(p.targets), leaving, paused, len(q.Avoid), versions, q.Version, unreachable)
+	refusal := newRefusal(KindNoTarget, minRetryAfter, "no target of pool %s accepts requests: %d in all, %d leaving, %d paused, %d avoided after failures, %d of other versions than %q, %d unreachable from here, %d in evacuated zones",
+		q.Pool, len(p.targets), leaving, paused, len(q.Avoid), versions, q.Version, unreachable, evacuated)
 	refusal.Unreachable = unreachable
 	if rest, ok := p.shortestRest(t, q); ok {
 		refusal.Cause.Kind = KindBackoff
@@ -144,7 +147,7 @@
 	index, n := t.sharers()
 	shortest := time.Duration(-1) // Of the waits for targets with a limit.
 	for name, g := range p.targets {
-		if t.isLeaving(g) || t.signs.backoffOf(name).rest(now) > 0 {
+		if t.isLeaving(g) || t.isEvacuated(g) || t.signs.backoffOf(name).rest(now) > 0 {
 			continue
 		}
 		wait, limited := t.limiter.Wait(name)
--- a/internal/jvtarget/table.go
+++ b/internal/jvtarget/table.go
@@ -95,6 +95,8 @@
 	// leavingTargets are the names of the targets that the VM list shows as leaving.
 	leavingTargets map[string]bool
 	signs          signs
+	// evacuated are the availability zones whose targets get no requests.
+	evacuated map[string]bool
 }
 
 // NewTable returns an empty table with the default weights for a router in a zone.
@@ -259,9 +261,12 @@
 	}
 }
 
-// inService reports whether a target accepts a request in view of its leaving. lateOnly is true if the target is
+// inService reports whether a target accepts a request in view of its leaving and of evacuated zones. lateOnly is true if the target is
 // leaving and accepts the request since that is bound to its version.
 func (t *Table) inService(g *target, q Request) (accepted, lateOnly bool) {
+	if t.isEvacuated(g) {
+		return false, false
+	}
 	since, leaving := t.leavingSince(g)
 	if !leaving {
 		return true, false
--- a/internal/jvtarget/view.go
+++ b/internal/jvtarget/view.go
@@ -15,6 +15,8 @@
 	OwnRequests int   `json:"own"`
 	Estimate    int64 `json:"estimate"`
 	Leaving     bool  `json:"leaving"`
+	// Evacuated is true if the target's availability zone is evacuated.
+	Evacuated bool `json:"evacuated"`
 	// BackoffUntil is until when the target gets no requests, since it has named that time.
 	BackoffUntil time.Time `json:"backoff"`
 	// Failures is the number of failures in a row.
@@ -66,6 +68,7 @@
 				OwnRequests:  len(g.traffic.starts),
 				Estimate:     g.traffic.estimate(g.load, p.maxReportAge(t.weights.MaxReportAge), t.timer.Now()),
 				Leaving:      t.isLeaving(g),
+				Evacuated:    t.isEvacuated(g),
 				BackoffUntil: t.signs.backoffOf(n).end,
 				Failures:     g.health.failures,
 				PausedUntil:  g.health.pausedUntil,
