--- a/internal/jvgrant/reserve.go
+++ b/internal/jvgrant/reserve.go
@@ -143,13 +143,23 @@
 	return sum
 }
 
-// spent reports whether the budget is known not to cover a request, whichever router holds it. The
-// published use lags behind the actual one and never exceeds it.
+// maxLostShare is the largest share of a budget that counts as used up although it may not have been spent: earlier processes
+// held it. The operator's terms allow 3% of a budget to be out of reach.
+const maxLostShare = 0.03
+
+// spent reports whether the budget is known not to cover a request, whichever router holds it and whatever requests in
+// progress give back. The published use lags behind the actual one and never exceeds it. What is lost is never spent again, so
+// a caller who comes back for it is refused again; but a large loss is not reported to callers as their own use.
 func (a *Allocator) spent(workspace string, tokens int64) bool {
 	prepaid, limited := a.options.Prepaid(workspace)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return limited && prepaid-a.fleet.Totals(workspace, "").Used < tokens
+	t := a.fleet.Totals(workspace, "")
+	left := prepaid - t.Used
+	if float64(t.Lost) <= maxLostShare*float64(prepaid) {
+		left -= t.Lost
+	}
+	return limited && left < tokens
 }
 
 // empty reports whether less of the budget is left than a request may use, after what all routers'
