--- a/internal/jvrelay/cold.go
+++ b/internal/jvrelay/cold.go
@@ -31,10 +31,10 @@
 
 // setCold applies how long a process of a target stays cold from now on; g.mu must be held.
 func (g *Registry) setCold(id string, startedAtMillis int64, pool string, d time.Duration) {
-	switch {
-	case d == unknownCold:
+	switch d {
+	case unknownCold:
 		return
-	case d == 0:
+	case 0:
 		g.warm(id)
 		return
 	}
