--- a/internal/jvpressure/error.go
+++ b/internal/jvpressure/error.go
@@ -32,6 +32,8 @@
 	KindProcessor Kind = "processor"
 	// KindLate means that the request has probably waited longer than its caller does.
 	KindLate Kind = "late"
+	// KindLink means that the machine's network link can't carry the request in time.
+	KindLink Kind = "link"
 )
 
 // Error is a failure for want of a resource.
--- a/internal/jvpressure/gate.go
+++ b/internal/jvpressure/gate.go
@@ -256,6 +256,13 @@
 // RefuseLeft returns the refusal of a request whose caller has left before it was read.
 func (g *Gate) RefuseLeft() *Refusal { return g.refuse(KindLate, 0) }
 
+// RefuseLink returns the refusal of a request that the machine's link can't carry, with the delay for its caller.
+func (g *Gate) RefuseLink(retryAfter time.Duration) *Refusal {
+	refusal := g.refuse(KindLink, 0)
+	refusal.RetryAfter = retryAfter
+	return refusal
+}
+
 // refuse counts a refusal and returns it. Callers are spread over a time, the longer the more are refused.
 func (g *Gate) refuse(k Kind, excess float64) *Refusal {
 	mean := float64(minRetryAfter) + excess*float64(maxRetryAfter-minRetryAfter)
--- a/internal/jvrelay/dump.go
+++ b/internal/jvrelay/dump.go
@@ -33,7 +33,9 @@
 	Reach any `json:"reach"`
 	// Quarantine are the requests that were running when targets ended.
 	Quarantine any `json:"quarantine"`
-	Settings   any `json:"settings"`
+	// Link is the use of the machine's network link.
+	Link     any `json:"link"`
+	Settings any `json:"settings"`
 }
 
 // Dump returns the relay's state.
--- a/internal/jvrelay/options.go
+++ b/internal/jvrelay/options.go
@@ -99,6 +99,9 @@
 	// Congested reports whether this machine's network link is so busy that callers are
 	// better served by another machine.
 	Congested func() bool
+	// AdmitLink counts a request of a workspace whose head was read, of so many bytes with its body, and reports whether the
+	// link can carry it in time, with the delay for its caller if it can't.
+	AdmitLink func(workspace string, bytes int64) (retryAfter time.Duration, ok bool)
 	// Gate admits requests by what this machine has left; nil means without limits.
 	Gate    *jvpressure.Gate
 	Meter   *jvmeter.Relay
@@ -134,6 +137,7 @@
 	return Options{
 		Logger:           logr.Discard(),
 		Congested:        func() bool { return false },
+		AdmitLink:        func(string, int64) (time.Duration, bool) { return 0, true },
 		TargetsCurrent:   func() bool { return true },
 		AnnounceLeaving:  func(jvsign.Process) {},
 		CountRouters:     func() (int, bool) { return 1, true },
--- a/internal/jvrelay/relay.go
+++ b/internal/jvrelay/relay.go
@@ -174,21 +174,36 @@
 // Stopping reports whether Stop has been called.
 func (r *Relay) Stopping() bool { return r.stop.Load() != nil }
 
-// Enter admits a request whose body has not been read, by its workspace's key, its route and how long its caller waits,
-// or returns why not. Leave must be called at the end of a request that was admitted, with its flow.
-func (r *Relay) Enter(key, host, path string, wait time.Duration) (jvpressure.Flow, *jvpressure.Refusal) {
-	q := jvpressure.Request{Wait: wait}
+// Head is what the head of a request shows to admission.
+type Head struct {
+	// Key is the key of the request's workspace.
+	Key  string
+	Host string
+	Path string
+	// Wait is how long the caller waits, or 0 if that isn't known.
+	Wait time.Duration
+	// Bytes is the length of the request with its body, as far as it is known.
+	Bytes int64
+}
+
+// Enter admits a request whose body has not been read, or returns why not. Leave must be called at the end of a request that
+// was admitted, with its flow.
+func (r *Relay) Enter(h Head) (jvpressure.Flow, *jvpressure.Refusal) {
+	q := jvpressure.Request{Wait: h.Wait}
 	if t := r.table.Load(); t != nil {
-		if route, ok := t.Match(host, path); ok {
+		if route, ok := t.Match(h.Host, h.Path); ok {
 			q.Priority = route.Priority
 		}
-		if w, ok := t.WorkspaceByKey(key); ok {
+		if w, ok := t.WorkspaceByKey(h.Key); ok {
 			q.Workspace = w.Name
 			if w.Priority >= 0 {
 				q.Priority = w.Priority
 			}
 		}
 	}
+	if retryAfter, ok := r.options.AdmitLink(q.Workspace, h.Bytes); !ok {
+		return q.Flow, r.options.Gate.RefuseLink(retryAfter)
+	}
 	return q.Flow, r.options.Gate.Enter(q)
 }
 
@@ -201,6 +216,7 @@
 	jvpressure.KindLate:      "the request has waited longer than its caller does",
 	jvpressure.KindProcessor: "this router has more requests than it can serve",
 	jvpressure.KindMemory:    "this router has too little memory left",
+	jvpressure.KindLink:      "this router's network link can't carry the request in time",
 	jvpressure.KindRequests:  "this router has as many requests in progress as its machine bears",
 }
 
--- a/internal/jvrelay/stop_test.go
+++ b/internal/jvrelay/stop_test.go
@@ -64,7 +64,7 @@
 		o.Gate = jvpressure.NewGate(g)
 	})
 	enter := func(r *Relay) *jvpressure.Refusal {
-		_, refusal := r.Enter("", "", "", 0)
+		_, refusal := r.Enter(Head{})
 		return refusal
 	}
 	require.Nil(t, enter(s.relay))
