--- a/internal/jvrelay/stop_test.go
+++ b/internal/jvrelay/stop_test.go
@@ -54,6 +54,26 @@
 	require.InDelta(t, o.MaxSavedRetries, start, 1e-9)
 }
 
+// TestLinkRefusal guards against a request that the link can't carry and that is refused without its reason, or counted as
+// in progress.
+func TestLinkRefusal(t *testing.T) {
+	var offered []any
+	s := newFixtureWith(t, func(o *Options) {
+		o.AdmitLink = func(workspace string, bytes int64) (time.Duration, bool) {
+			offered = append(offered, workspace, bytes)
+			return 30 * time.Millisecond, false
+		}
+	})
+	_, refusal := s.relay.Enter(Head{Key: "unknown", Bytes: 5000})
+	require.Equal(t, jvpressure.KindLink, refusal.Kind)
+	require.Equal(t, []any{"", int64(5000)}, offered)
+	c := &callerFake{}
+	s.relay.RefuseUnread("r", refusal, c)
+	require.Equal(t, "refused 503 overloaded, retry after 30ms", c.got.String())
+	require.Zero(t, s.relay.Gate().Requests().Taken())
+	require.Equal(t, int64(1), s.relay.Gate().Counts().Refused[jvpressure.KindLink])
+}
+
 // TestMaxActive checks that no more requests are admitted than the machine bears, and that their end makes room.
 func TestMaxActive(t *testing.T) {
 	s := newFixtureWith(t, func(o *Options) {
