--- a/internal/jvlink/link.go
+++ b/internal/jvlink/link.go
@@ -165,14 +165,15 @@
 	l.mu.Lock()
 	zone := l.zone
 	var others []jvmember.Member
+	l.policy.routers = 1
 	if zone != nil {
-		for _, m := range zone.Others() {
+		others = zone.Others()
+		for _, m := range others {
 			if m.Zone == zone.Self.Zone {
-				others = append(others, m)
+				l.policy.routers++
 			}
 		}
 	}
-	l.policy.routers = len(others) + 1
 	l.policy.measure(now, l.in.Swap(0), l.out.Swap(0))
 	l.publish()
 	var r Report
@@ -186,7 +187,9 @@
 	}
 	data := jvcodec.Encode(r)
 	for _, m := range others {
-		zone.Send(m, data)
+		if m.Zone == zone.Self.Zone {
+			zone.Send(m, data)
+		}
 	}
 }
 
--- a/internal/jvlink/model_test.go
+++ b/internal/jvlink/model_test.go
@@ -275,6 +275,7 @@
 		{name: "routers cut off from each other", wide: 2, rates: []func(time.Duration) float64{steady(250)}, cut: true, least: 0.93, entered: 5},
 		{name: "narrow links only", rates: []func(time.Duration) float64{steady(250)}, least: 0.7, entered: 1},
 		{name: "all restarted", wide: 2, rates: []func(time.Duration) float64{steady(250)}, restart: half, least: 0.97, entered: 2},
+		{name: "all restarted without the store", wide: 2, rates: []func(time.Duration) float64{steady(250)}, restart: half, cut: true, least: 0.93, entered: 8}, // 5, 10, 20 and 40 s, twice.
 		{name: "small again", wide: 2, rates: []func(time.Duration) float64{func(at time.Duration) float64 {
 			if at < half {
 				return 250
--- a/internal/jvlink/policy.go
+++ b/internal/jvlink/policy.go
@@ -159,7 +159,7 @@
 			p.leave(now)
 		}
 	}
-	p.updateCapped()
+	p.limitUnready()
 }
 
 // mayLeave reports whether the callers that crowded the link may return.
@@ -290,6 +290,15 @@
 	return names
 }
 
+// limitUnready updates capped, and logs a change.
+func (p *policy) limitUnready() {
+	before := p.capped
+	p.updateCapped()
+	if p.crowded && p.capped != before {
+		p.log()
+	}
+}
+
 // updateCapped decides whether the router is ready although its link is crowded. Of the routers of the zone whose links are
 // crowded, the smallest links stay out of rotation, and of equal ones those that have been out the longest.
 func (p *policy) updateCapped() {
@@ -341,12 +350,13 @@
 	}
 	o.bytes += bytes
 	o.requests++
-	if o.requests < firstRequests || p.crowded && p.held[workspace] || len(p.reports) == 0 {
+	rate := float64(o.bytes) / measureInterval.Seconds()
+	if o.requests < firstRequests || len(p.reports) == 0 || rate < firstShare*p.heavyRate() || p.crowded && p.held[workspace] {
 		return
 	}
 	reported := p.reported(workspace)
 	switch {
-	case reported < p.heavyRate(), float64(o.bytes) < firstShare*reported*measureInterval.Seconds(),
+	case reported < p.heavyRate(), rate < firstShare*reported,
 		reported+max(0, p.rates.max()-o.rate) < p.EnterShare*p.Capacity:
 	case p.crowded:
 		p.add([]string{workspace})
--- a/internal/jvlink/policy_test.go
+++ b/internal/jvlink/policy_test.go
@@ -1,7 +1,10 @@
 package jvlink
 
 import (
+	"bytes"
 	"fmt"
+	"io"
+	"net"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -22,7 +25,8 @@
 		defer timer.Close()
 		links := map[string]*Link{}
 		sent := 0
-		for _, router := range []string{"r1", "r2", "r3", "other"} {
+		all := []string{"r1", "r2", "r3", "other"}
+		for _, router := range all {
 			o := DefaultOptions()
 			o.Capacity, o.Timer = slowLink, timer
 			if router == "r1" {
@@ -30,19 +34,16 @@
 			}
 			links[router] = NewLink(o)
 			defer links[router].Close()
+			member := func(name string) jvmember.Member {
+				return jvmember.Member{Name: name, Zone: map[bool]string{true: "y", false: "z"}[name == "other"]}
+			}
 			var others []jvmember.Member
-			for _, name := range []string{"r1", "r2", "r3", "other"} {
-				zone := "z"
-				if name == "other" {
-					zone = "y"
+			for _, name := range all {
+				if name != router {
+					others = append(others, member(name))
 				}
-				others = append(others, jvmember.Member{Name: name, Zone: zone})
-			}
-			self := jvmember.Member{Name: router, Zone: "z"}
-			if router == "other" {
-				self.Zone = "y"
 			}
-			links[router].Join(Zone{Self: self, Others: func() []jvmember.Member { return others }, Send: func(to jvmember.Member, message []byte) {
+			links[router].Join(Zone{Self: member(router), Others: func() []jvmember.Member { return others }, Send: func(to jvmember.Member, message []byte) {
 				sent++
 				require.NoError(t, links[to.Name].Receive(message, nil))
 			}})
@@ -188,3 +189,40 @@
 	}
 	require.InDelta(t, paceShare*slowLink, pieces*pieceBytes/now.Sub(start).Seconds(), 0.05*slowLink)
 }
+
+// TestPacedWrite guards against a body that is changed or delayed beyond its share by its pieces, and against a write that
+// goes on after its connection is closed.
+func TestPacedWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		timer := jvtimer.NewService()
+		defer timer.Close()
+		o := DefaultOptions()
+		o.Capacity, o.Timer = slowLink, timer
+		l := NewLink(o)
+		defer l.Close()
+		near, far := net.Pipe()
+		c := l.Pace(near)
+		received := make(chan []byte)
+		go func() {
+			data, _ := io.ReadAll(far)
+			received <- data
+		}()
+		body := bytes.Repeat([]byte("0123456789"), 10_000)
+		startedAt := timer.Now()
+		n, err := c.Write(body)
+		require.NoError(t, err)
+		require.Equal(t, len(body), n)
+		require.InDelta(t, (float64(len(body))-paceBurst)/(paceShare*slowLink), timer.Since(startedAt).Seconds(), 0.01)
+		failed := make(chan error)
+		go func() {
+			_, err := c.Write(body)
+			failed <- err
+		}()
+		time.Sleep(10 * time.Millisecond)
+		require.NoError(t, c.Close())
+		require.Error(t, <-failed)
+		data := <-received
+		require.Equal(t, body, data[:len(body)])
+		require.Less(t, len(data), len(body)+2*paceBurst)
+	})
+}
--- a/internal/jvlink/report.go
+++ b/internal/jvlink/report.go
@@ -84,7 +84,7 @@
 	if r.Capacity > 0 {
 		p.smallest = min(p.smallest, r.Capacity)
 	}
-	p.updateCapped()
+	p.limitUnready()
 }
 
 // expireReports forgets reports that are too old to count. While this router is ready since too many others are not, it still
