jvloan: advance reservations at holders

Borrowers reserve in advance for workspaces with frequent requests, which then need no packet each: on a saturated link requests were refused since no holder responded. A lender keeps refused reservations for endedAge: a doubled packet whose first copy was refused could be granted later, and its tokens stayed reserved until MaxAge. Histories with advances showed it.

--- a/internal/jvloan/borrower.go
+++ b/internal/jvloan/borrower.go
@@ -16,8 +16,8 @@
 
 	mu   sync.Mutex
 	last uint64
-	// waiting are the reservations whose response has not arrived, with the channel for it.
-	waiting map[uint64]chan message
+	// waiting are the reservations whose response has not arrived, with what receives it.
+	waiting map[uint64]func(message)
 	// holders are the holders of the open reservations.
 	holders map[uint64]jvmember.Member
 	// settling are the reservations whose end has not been confirmed.
@@ -50,17 +50,17 @@
 func newBorrower(o Options) *borrower {
 	return &borrower{
 		options: o, process: uint64(o.Random() * processRange),
-		waiting: map[uint64]chan message{}, holders: map[uint64]jvmember.Member{}, settling: map[uint64]*settling{}, suspects: map[string]time.Time{},
+		waiting: map[uint64]func(message){}, holders: map[uint64]jvmember.Member{}, settling: map[uint64]*settling{}, suspects: map[string]time.Time{},
 	}
 }
 
-// open registers a new reservation at a holder, whose response goes to a channel that must have room for it, and returns
-// the message that asks for it.
-func (b *borrower) open(responses chan message, workspace string, tokens int64, wait time.Duration, counted bool) message {
+// open registers a new reservation at a holder, whose response goes to receive once at most, and returns the message that
+// asks for it.
+func (b *borrower) open(receive func(message), workspace string, tokens int64, wait time.Duration, counted bool) message {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.last++
-	b.waiting[b.last] = responses
+	b.waiting[b.last] = receive
 	return message{
 		Operation: operationReserve, Router: b.options.Self().Name, Process: b.process, Number: b.last,
 		Workspace: workspace, Tokens: tokens, WaitMillis: min(wait.Milliseconds(), maxWaitMillis), Counted: counted,
@@ -124,16 +124,22 @@
 	if m.Process != b.process || m.Router != b.options.Self().Name {
 		return // It is for an earlier process of this router.
 	}
+	if receive := b.answered(m); receive != nil {
+		receive(m) // Without the lock: it may settle.
+	}
+}
+
+// answered removes what a response ends, and returns what receives the response, or nil.
+func (b *borrower) answered(m message) func(message) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if m.Operation == operationSettled {
 		delete(b.settling, m.Number)
-		return
-	}
-	if response := b.waiting[m.Number]; response != nil {
-		delete(b.waiting, m.Number)
-		response <- m // It has room for one.
+		return nil
 	}
+	receive := b.waiting[m.Number]
+	delete(b.waiting, m.Number)
+	return receive
 }
 
 // suspect notes that a holder did not respond.
--- a/internal/jvloan/history_test.go
+++ b/internal/jvloan/history_test.go
@@ -30,6 +30,8 @@
 	mutantTwice    mutant = "a loan is settled twice"
 	mutantLate     mutant = "a reserve that arrives after its settle makes a new loan"
 	mutantUnproved mutant = "a borrower uses a reservation that it has given up"
+	mutantRunning  mutant = "an advance is settled without its running requests"
+	mutantReturned mutant = "unused tokens go back to an advance twice"
 )
 
 // pot is an allocator that holds a number of tokens and never gets more.
@@ -56,7 +58,9 @@
 
 // network delivers messages late, twice or not at all, by a fixed sequence.
 type network struct {
-	mutant  mutant
+	mutant mutant
+	// span is the time that advances cover, 0 for none.
+	span    time.Duration
 	routers map[string]*router
 	// faults are drawn ahead; each message takes the next one.
 	faults []int
@@ -129,6 +133,8 @@
 	testZones     = 2
 	testRouters   = 14
 	testHolders   = 4
+	// longSpan makes advances of several requests in histories with few requests a second.
+	longSpan = 3 * time.Second
 )
 
 func (n *network) start(r *router) {
@@ -141,6 +147,7 @@
 	o.Self = func() jvmember.Member { return r.member }
 	o.Send = func(to jvmember.Member, data []byte) { n.send(to.Name, data) }
 	o.Holders = testHolders
+	o.AdvanceSpan, o.AdvanceRequests = n.span, 1
 	l := New(o)
 	var all []jvmember.Member
 	for _, other := range n.routers {
@@ -153,9 +160,9 @@
 }
 
 // runHistory returns the first violation, or "".
-func runHistory(t *testing.T, m mutant, faults, steps []int) (violation string) {
+func runHistory(t *testing.T, m mutant, span time.Duration, faults, steps []int) (violation string) {
 	synctest.Test(t, func(*testing.T) {
-		n := &network{mutant: m, routers: map[string]*router{}, faults: faults}
+		n := &network{mutant: m, span: span, routers: map[string]*router{}, faults: faults}
 		for i := range testRouters {
 			name := fmt.Sprint("r", i)
 			n.routers[name] = &router{network: n, member: jvmember.Member{Name: name, Zone: fmt.Sprint("z", i%testZones), Weight: 1}, pot: &pot{escrow: jvescrow.NewEscrow()}}
@@ -188,13 +195,34 @@
 					r.open = r.open[1:]
 					part := end.Tokens * int64(s%101) / 100
 					used -= end.Tokens - part
+					a := r.loans.Load().advances
+					a.mu.Lock()
+					v := a.draws[end.Draw]
+					if m == mutantReturned && v != nil {
+						v.rest += end.Tokens - part
+					}
+					a.mu.Unlock()
 					r.loans.Load().Settle(end, part)
 				}
 			case 6:
-				time.Sleep(time.Duration(s%3000) * time.Millisecond)
-				for _, o := range n.routers {
-					o.loans.Load().borrower.resend()
-					o.loans.Load().lender.expire()
+				parts := 1
+				if span > 0 { // Requests for advances are sent again and given up meanwhile.
+					parts = 8
+				}
+				for range parts {
+					time.Sleep(time.Duration(s%3000) * time.Millisecond / time.Duration(parts))
+					for _, o := range n.routers {
+						if m == mutantRunning {
+							a := o.loans.Load().advances
+							a.mu.Lock()
+							for _, v := range a.all() {
+								v.running, v.draws = 0, map[uint64]int64{}
+							}
+							a.mu.Unlock()
+						}
+						o.loans.Load().resend()
+						o.loans.Load().lender.expire()
+					}
 				}
 			case 7: // The next process knows only what the one before may have spent: all that it had committed.
 				killed = true
@@ -232,10 +260,13 @@
 		for range 2 * maxSettles {
 			time.Sleep(maxSettleInterval)
 			for _, o := range n.routers {
-				o.loans.Load().borrower.resend()
+				o.loans.Load().resend()
 			}
 		}
 		for _, r := range n.routers {
+			if list := r.loans.Load().advances.dump(time.Now()); len(list) > 0 {
+				violation = fmt.Sprintf("%s keeps %+v", r.member.Name, list)
+			}
 			if a := r.pot.escrow.Account(testWorkspace); !killed && a.Reserved != 0 {
 				violation = fmt.Sprintf("%s keeps %d tokens reserved", r.member.Name, a.Reserved)
 			}
@@ -244,25 +275,31 @@
 	return violation
 }
 
-func historyProperty(t *testing.T, m mutant) func(*rapid.T) {
+func historyProperty(t *testing.T, m mutant, span time.Duration) func(*rapid.T) {
 	return func(r *rapid.T) {
 		faults := rapid.SliceOfN(rapid.IntRange(0, 5), 7, 40).Draw(r, "faults")
 		steps := rapid.SliceOfN(rapid.IntRange(0, 100_000), 20, 150).Draw(r, "steps")
-		require.Empty(r, runHistory(t, m, faults, steps))
+		require.Empty(r, runHistory(t, m, span, faults, steps))
 	}
 }
 
 // TestLoansNeverExceedWhatHoldersCount guards against requests that use more than their holders count as spent or
 // reserved, and against tokens that stay reserved for nobody: messages are lost, doubled and late, and routers are killed.
+// It holds without advances and with them.
 func TestLoansNeverExceedWhatHoldersCount(t *testing.T) {
-	rapid.Check(t, historyProperty(t, mutantNone))
+	for _, span := range []time.Duration{0, DefaultOptions().AdvanceSpan, longSpan} {
+		t.Run(span.String(), func(t *testing.T) { rapid.Check(t, historyProperty(t, mutantNone, span)) })
+	}
 }
 
 // TestLoanFaultsAreNoticed guards against a property that detects nothing.
 func TestLoanFaultsAreNoticed(t *testing.T) {
-	for _, m := range []mutant{mutantRestart, mutantTwice, mutantLate, mutantUnproved} {
+	spans := map[mutant]time.Duration{
+		mutantRestart: 0, mutantTwice: 0, mutantLate: 0, mutantUnproved: 0, mutantRunning: longSpan, mutantReturned: longSpan,
+	}
+	for m, span := range spans {
 		t.Run(string(m), func(t *testing.T) {
-			caught, how := jvproperty.CheckFails(t, historyProperty(t, m))
+			caught, how := jvproperty.CheckFails(t, historyProperty(t, m, span))
 			require.True(t, caught, "mutant not detected")
 			t.Log(how)
 		})
--- a/internal/jvloan/lender.go
+++ b/internal/jvloan/lender.go
@@ -19,12 +19,15 @@
 }
 
 // loan is a reservation for another router. A borrower's messages may arrive more than once and in any order, so a
-// loan that has ended is kept for endedAge: a late reserve must not make a new one of it.
+// loan that has ended or was refused is kept for endedAge: a late copy of its reserve must not make a new one of it, which
+// nobody would settle.
 type loan struct {
 	reservation jvescrow.Reservation
 	granted     bool
 	ended       bool
-	at          time.Time
+	// refusal is the kind of the error if it was refused.
+	refusal string
+	at      time.Time
 }
 
 // endedAge is longer than any message is on its way.
@@ -48,8 +51,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if old := l.loans[key]; old != nil {
-		if old.granted { // The response was lost, or the message was doubled.
+		switch { // The response was lost, or the message was doubled.
+		case old.granted:
 			reply(m.granted())
+		case old.refusal != "":
+			reply(m.refused(jvfault.Newf("reserve", jvgrant.Kind(old.refusal), "refused before")))
 		}
 		return
 	}
@@ -60,16 +66,18 @@
 		l.open++
 		reply(m.granted())
 	case m.WaitMillis == 0 || jvfault.KindOf[jvgrant.Kind](err) != jvgrant.KindWait:
-		reply(m.refused(err))
+		refused := &loan{}
+		l.loans[key] = refused
+		l.refuse(refused, m, err, reply)
 	default:
 		waiting := &loan{at: l.options.Timer.Now()}
 		l.loans[key] = waiting
-		go l.wait(key, waiting, m, reply)
+		go l.wait(waiting, m, reply)
 	}
 }
 
 // wait waits for the tokens of a loan.
-func (l *lender) wait(key loanKey, waiting *loan, m message, reply func(message)) {
+func (l *lender) wait(waiting *loan, m message, reply func(message)) {
 	ctx, cancel := l.options.Timer.WithTimeout(context.Background(), time.Duration(m.WaitMillis)*time.Millisecond)
 	defer cancel()
 	r, err := l.options.Allocator.Await(ctx, m.Workspace, m.Tokens)
@@ -77,8 +85,7 @@
 	defer l.mu.Unlock()
 	switch {
 	case err != nil && !waiting.ended:
-		delete(l.loans, key)
-		reply(m.refused(err))
+		l.refuse(waiting, m, err, reply)
 	case err == nil && waiting.ended: // The borrower has settled it meanwhile: it has not been used.
 		l.options.Allocator.Settle(r, 0)
 	case err == nil:
@@ -88,6 +95,13 @@
 	}
 }
 
+// refuse ends a loan that was not granted; l.mu must be held.
+func (l *lender) refuse(o *loan, m message, err error, reply func(message)) {
+	response := m.refused(err)
+	o.ended, o.refusal, o.at = true, response.Refusal, l.options.Timer.Now()
+	reply(response)
+}
+
 // settle handles a settle.
 func (l *lender) settle(m message, reply func(message)) {
 	key := loanKey{m.Router, m.Process, m.Number}
--- a/internal/jvloan/loans.go
+++ b/internal/jvloan/loans.go
@@ -32,6 +32,7 @@
 	options  Options
 	lender   *lender
 	borrower *borrower
+	advances *advances
 	// derived is the layout for the members below; only Run uses them.
 	derived       Layout
 	derivedSelf   jvmember.Member
@@ -62,12 +63,14 @@
 
 // New returns Loans that know no other router.
 func New(o Options) *Loans {
-	return &Loans{options: o, lender: newLender(o), borrower: newBorrower(o), role: RoleUnknown}
+	l := &Loans{options: o, lender: newLender(o), borrower: newBorrower(o), role: RoleUnknown}
+	l.advances = newAdvances(o, &advanceMessages{loans: l, open: map[uint64]asked{}})
+	return l
 }
 
 // Run adapts the role to the fleet, and runs the allocator while this router has one, until ctx ends.
 func (l *Loans) Run(ctx context.Context) {
-	resends := l.options.Timer.Every(resendInterval, l.borrower.resend)
+	resends := l.options.Timer.Every(resendInterval, l.resend)
 	defer resends.Close()
 	expiry := l.options.Timer.Every(expireInterval, l.lender.expire)
 	defer expiry.Close()
@@ -83,6 +86,12 @@
 	running.Wait()
 }
 
+// resend sends again what has not been confirmed, and reviews the advances.
+func (l *Loans) resend() {
+	l.borrower.resend()
+	l.advances.tick(l.options.Timer.Now())
+}
+
 // update derives the layout and this router's role from the members.
 func (l *Loans) update(ctx context.Context, running *sync.WaitGroup) {
 	if !l.options.Settled() {
@@ -185,7 +194,8 @@
 	return role
 }
 
-// Reserve reserves a request's worst case, in tokens, and waits for it until ctx ends. It asks the workspace's first
+// Reserve reserves a request's worst case, in tokens, and waits for it until ctx ends. A borrower draws it on an advance if
+// one has enough left. Otherwise it asks the workspace's first
 // holder in the zone, the zone's other holders, then some of other zones, and at last waits at the first one that
 // responds.
 func (l *Loans) Reserve(ctx context.Context, workspace string, tokens int64) (jvescrow.Reservation, error) {
@@ -200,16 +210,33 @@
 	if len(candidates) == 0 { // The last holders are leaving.
 		return l.options.Allocator.Reserve(ctx, workspace, tokens)
 	}
+	if role == RoleBorrower {
+		if number := l.advances.begin(l.options.Timer.Now(), workspace, tokens); number != 0 {
+			return jvescrow.Reservation{Profile: workspace, Tokens: tokens, Draw: number}, nil
+		}
+	}
 	return newSearch(l, workspace, tokens, candidates).run(ctx)
 }
 
+// draw draws a request that waits on an advance, if one has enough left.
+func (l *Loans) draw(workspace string, tokens int64) (r jvescrow.Reservation, ok bool) {
+	number := l.advances.draw(l.options.Timer.Now(), workspace, tokens)
+	if number == 0 {
+		return r, false
+	}
+	return jvescrow.Reservation{Profile: workspace, Tokens: tokens, Draw: number}, true
+}
+
 // Settle ends a reservation with the tokens that the request used.
 func (l *Loans) Settle(r jvescrow.Reservation, used int64) {
-	if r.Loan == 0 {
+	switch {
+	case r.Draw != 0:
+		l.advances.end(r.Draw, used)
+	case r.Loan != 0:
+		l.borrower.settle(r.Loan, min(max(used, 0), r.Tokens))
+	default:
 		l.options.Allocator.Settle(r, used)
-		return
 	}
-	l.borrower.settle(r.Loan, min(max(used, 0), r.Tokens))
 }
 
 // Receive handles a message of another router; reply sends one back.
@@ -248,6 +275,7 @@
 	l.mu.Lock()
 	l.leaving = true
 	l.mu.Unlock()
+	l.advances.stop()
 	l.options.Allocator.Leave(serving)
 }
 
@@ -257,6 +285,7 @@
 // Close returns what this router holds, until ctx ends at the latest, and waits for a short time until what it has borrowed is
 // settled.
 func (l *Loans) Close(ctx context.Context) {
+	l.advances.settleAll()
 	l.options.Allocator.Close(ctx)
 	ctx, cancel := l.options.Timer.WithTimeout(ctx, closeTime)
 	defer cancel()
@@ -276,11 +305,26 @@
 	return len(l.options.Others()) + 1, true
 }
 
-// RegisterGauges registers the numbers of open reservations for other routers, and of own ones at other routers whose end is
-// not confirmed.
+// RegisterGauges registers the numbers of open reservations for other routers, of own ones at other routers whose end is
+// not confirmed, and of advances.
 func (l *Loans) RegisterGauges(register func(name string, read func() float64)) {
 	register("jv_loans_lent", func() float64 { return float64(l.lender.Open()) })
 	register("jv_loans_unsettled", func() float64 { return float64(l.borrower.unsettled()) })
+	register("jv_advances_rest_tokens", func() float64 {
+		_, rest := l.advances.snapshot()
+		return float64(rest)
+	})
+	for name, read := range map[string]func(AdvanceCounts) int64{
+		"draws": func(c AdvanceCounts) int64 { return c.Draws }, "asked": func(c AdvanceCounts) int64 { return c.Asked },
+		"granted": func(c AdvanceCounts) int64 { return c.Granted }, "refused": func(c AdvanceCounts) int64 { return c.Refused },
+		"unanswered": func(c AdvanceCounts) int64 { return c.Unanswered }, "unused": func(c AdvanceCounts) int64 { return c.Unused },
+		"moved": func(c AdvanceCounts) int64 { return c.Moved },
+	} {
+		register("jv_advances_"+name, func() float64 {
+			c, _ := l.advances.snapshot()
+			return float64(read(c))
+		})
+	}
 }
 
 // Dump is the state of Loans.
@@ -293,12 +337,17 @@
 	// Lent is the number of reservations for other routers, Unsettled that of own ones whose end is not confirmed.
 	Lent      int `json:"lent"`
 	Unsettled int `json:"unsettled"`
+	// Advances are the open reservations made in advance, AdvanceCounts their counts.
+	Advances      []AdvanceDump `json:"advances"`
+	AdvanceCounts AdvanceCounts `json:"advanceCounts"`
 }
 
 // Dump returns the state.
 func (l *Loans) Dump() Dump {
 	role, layout := l.state()
 	d := Dump{Dump: l.options.Allocator.Dump(), Role: role, Holders: map[string][]string{}, Lent: l.lender.Open(), Unsettled: l.borrower.unsettled()}
+	d.Advances = l.advances.dump(l.options.Timer.Now())
+	d.AdvanceCounts, _ = l.advances.snapshot()
 	for zone, list := range layout.ByZone {
 		for _, h := range list {
 			d.Holders[zone] = append(d.Holders[zone], h.Name)
--- a/internal/jvloan/options.go
+++ b/internal/jvloan/options.go
@@ -52,6 +52,10 @@
 	SuspectTime  time.Duration
 	// MaxAge is how long a holder keeps a reservation that its borrower does not settle. It counts as spent then.
 	MaxAge time.Duration
+	// AdvanceSpan is the time whose demand an advance covers, and 0 for none; AdvanceRequests is the number of requests in
+	// about the last second from which a workspace gets one.
+	AdvanceSpan     time.Duration
+	AdvanceRequests int
 }
 
 // DefaultOptions returns options with defaults for all numbers.
@@ -61,5 +65,8 @@
 		ResponseTime: 30 * time.Millisecond, // A round trip in a zone takes less than 2 ms.
 		SuspectTime:  500 * time.Millisecond,
 		MaxAge:       10 * time.Minute, // No response lasts as long.
+		// Together with what is left of the last one, an advance withholds half a second of demand.
+		AdvanceSpan:     350 * time.Millisecond,
+		AdvanceRequests: 10,
 	}
 }
--- a/internal/jvloan/search.go
+++ b/internal/jvloan/search.go
@@ -114,7 +114,7 @@
 
 // ask sends a holder the request, with the time that it may wait, and returns the number of the reservation.
 func (s *search) ask(h jvmember.Member, wait time.Duration, counted bool) uint64 {
-	m := s.loans.borrower.open(s.responses, s.workspace, s.tokens, wait, counted)
+	m := s.loans.borrower.open(func(m message) { s.responses <- m }, s.workspace, s.tokens, wait, counted)
 	a := asked{holder: h, data: m.encode()}
 	s.open[m.Number] = a
 	s.loans.options.Send(h, a.data)
@@ -145,8 +145,9 @@
 			if done || m.Number == number {
 				return r, done, err
 			}
-		case <-timeout:
-			return r, false, nil
+		case <-timeout: // An advance may have been granted meanwhile.
+			r, done = s.loans.draw(s.workspace, s.tokens)
+			return r, done, nil
 		case <-ctx.Done():
 			return r, false, nil
 		}
@@ -159,6 +160,7 @@
 	if err == nil {
 		return r, true, nil
 	}
+	s.loans.advances.scarce(s.loans.options.Timer.Now(), s.workspace)
 	switch jvfault.KindOf[jvgrant.Kind](err) {
 	case jvgrant.KindSpent, jvgrant.KindEmpty: // The whole budget is used up.
 		return r, true, err
