--- a/internal/jvloan/advance.go
+++ b/internal/jvloan/advance.go
@@ -8,13 +8,13 @@
 )
 
 const (
-	// replaceShare is the share of an advance's size below which what is left is replaced, and maxRestShare the share above
-	// which the oldest advances are closed. With the default span of 350 ms, about half a second of demand is out of reach.
+	// replaceShare is the share of an advance's size below which what is left is replaced. With the default span of 350 ms,
+	// about half a second of demand is out of reach.
 	replaceShare = 0.4
-	maxRestShare = 1.4
 	// minDraws is the number of mean requests that an advance covers at least, also after refusals.
 	minDraws = 2
-	// maxIdle and maxOpen are how long an advance is kept without a draw, and altogether.
+	// maxIdle and maxOpen are how long an advance is kept without a draw, and altogether. Closing advances earlier when much
+	// is left withholds more: what running requests return to a closed advance can't be drawn.
 	maxIdle = time.Second
 	maxOpen = 3 * time.Second
 	// advanceResend and advanceWait are when a request for an advance is sent again, and given up. They exceed the delay of
@@ -28,7 +28,7 @@
 	maxRefusalPause = 16 * time.Second
 	maxHalvings     = 3
 	// moveInterval is the pause between attempts to reduce a closed advance, minMoveShare the part of it that must become free.
-	moveInterval = 2 * time.Second
+	moveInterval = time.Second
 	minMoveShare = 0.25
 )
 
@@ -168,7 +168,7 @@
 	if a.stopped || a.span <= 0 || w.request != 0 || now.Before(w.pausedUntil) || requests < max(a.minRequests, 1) {
 		return
 	}
-	size := max(a.size(tokens)>>w.halvings, minDraws*tokens/int64(requests))
+	size := max(int64(float64(tokens)*a.span.Seconds())>>w.halvings, minDraws*tokens/int64(requests))
 	if size == 0 || float64(w.rest()) >= replaceShare*float64(size) {
 		return
 	}
@@ -178,9 +178,6 @@
 	}
 }
 
-// size returns the size of an advance for the worst cases of about a second.
-func (a *advances) size(tokens int64) int64 { return int64(float64(tokens) * a.span.Seconds()) }
-
 // rest returns what requests can draw.
 func (w *workspaceAdvances) rest() (sum int64) {
 	for _, v := range w.list {
@@ -340,24 +337,20 @@
 	}
 	for _, workspace := range slices.Sorted(maps.Keys(a.workspaces)) {
 		w := a.workspaces[workspace]
-		requests, tokens := w.recent.sum(now)
-		limit := int64(maxRestShare * float64(max(a.size(tokens), minDraws*tokens/int64(max(requests, 1)))))
 		for _, v := range slices.Clone(w.list) {
-			a.review(now, v, w.rest() > limit)
+			a.review(now, v)
 		}
-		if requests == 0 && len(w.list) == 0 && w.request == 0 && !now.Before(w.pausedUntil) {
+		if requests, _ := w.recent.sum(now); requests == 0 && len(w.list) == 0 && w.request == 0 && !now.Before(w.pausedUntil) {
 			delete(a.workspaces, workspace)
 		}
 	}
 }
 
-// review closes an advance that is old, idle or too much, and requests a smaller one for its running requests if they
+// review closes an advance that is used up, idle or old, and requests a smaller one for its running requests if they
 // keep the rest of it from other routers; a.mu must be held.
-func (a *advances) review(now time.Time, v *advance, tooMuch bool) {
-	idle := now.Sub(v.drawnAt)
+func (a *advances) review(now time.Time, v *advance) {
 	usedUp := v.rest == 0 && v.running == 0
-	// A new advance is kept for a while although demand seems to have ended: the next requests are on their way.
-	if usedUp || idle >= maxIdle || now.Sub(v.grantedAt) >= maxOpen || (tooMuch && now.Sub(v.grantedAt) >= maxIdle) {
+	if usedUp || now.Sub(v.drawnAt) >= maxIdle || now.Sub(v.grantedAt) >= maxOpen {
 		v.closed = true
 	}
 	a.finish(v)
--- a/internal/jvloan/advance_test.go
+++ b/internal/jvloan/advance_test.go
@@ -221,3 +221,38 @@
 	d.end(long, 1)
 	require.EqualValues(t, 1000, d.port.settled[d.port.last])
 }
+
+// TestLongRequestsWithholdLittle guards against advances of which much is out of reach beside requests of different length:
+// 50 a second run for 0.3 s, and each twentieth for 20 s. They use all, half and a tenth of their worst cases.
+func TestLongRequestsWithholdLittle(t *testing.T) {
+	for _, used := range []int64{1000, 500, 100} {
+		d := newDecisions()
+		ends := map[uint64]time.Time{}
+		var most, sum int64
+		const requests = 3000
+		for i := range requests {
+			d.pass(20 * time.Millisecond)
+			number := d.begin(d.now, testWorkspace, 1000)
+			for asked := range d.requests {
+				d.granted(d.now, asked)
+			}
+			if number != 0 && i%20 == 0 {
+				ends[number] = d.now.Add(20 * time.Second)
+			} else if number != 0 {
+				ends[number] = d.now.Add(300 * time.Millisecond)
+			}
+			for n, at := range ends {
+				if !at.After(d.now) {
+					d.end(n, used)
+					delete(ends, n)
+				}
+			}
+			_, rest := d.snapshot()
+			most, sum = max(most, rest), sum+rest
+		}
+		t.Logf("%d used of 1000: out of reach %d at most, %d on average; %d requests to holders, %+v", used, most, sum/requests, d.port.last, d.counts)
+		require.Less(t, most, int64(50*650))
+		require.Less(t, sum/requests, int64(50*500))
+		require.Less(t, d.port.last, uint64(requests/8))
+	}
+}
--- a/internal/jvloan/history_test.go
+++ b/internal/jvloan/history_test.go
@@ -305,3 +305,29 @@
 		})
 	}
 }
+
+// TestRefusedReserveIsNotGrantedLater guards against tokens that stay reserved for nobody: a reserve that arrives twice is
+// refused at first, tokens return meanwhile, and the borrower has given it up when the second copy arrives.
+func TestRefusedReserveIsNotGrantedLater(t *testing.T) {
+	p := &pot{escrow: jvescrow.NewEscrow()}
+	p.escrow.RaiseTotals(testWorkspace, 100, 0)
+	o := DefaultOptions()
+	o.Allocator, o.Timer, o.Logger = p, jvtimer.NewService(), logr.Discard()
+	l := newLender(o)
+	held, err := p.Try(testWorkspace, 100, true)
+	require.NoError(t, err)
+	m := message{Operation: operationReserve, Router: "r", Process: 1, Number: 1, Workspace: testWorkspace, Tokens: 50}
+	for range 2 { // The tokens return after the first copy.
+		refusals := 0
+		l.reserve(m, func(response message) {
+			require.Equal(t, string(jvgrant.KindWait), response.Refusal)
+			refusals++
+		})
+		require.Equal(t, 1, refusals)
+		p.Settle(held, 0)
+		held.Tokens = 0
+	}
+	require.Zero(t, p.escrow.Account(testWorkspace).Reserved)
+	m.Number++
+	l.reserve(m, func(response message) { require.Empty(t, response.Refusal) })
+}
