--- a/internal/jvloan/fleet_test.go
+++ b/internal/jvloan/fleet_test.go
@@ -109,15 +109,17 @@
 
 // fleet is many routers that serve the requests of some workspaces.
 type fleet struct {
-	store      *store
-	topics     map[string]*jvtopic.Topic
-	holders    int
-	routers    []*Loans
-	byName     map[string]*Loans
-	workspaces []string
-	stop       func()
-	timer      *jvtimer.Service
-	startedAt  time.Time
+	store   *store
+	topics  map[string]*jvtopic.Topic
+	holders int
+	// advanceRequests is the rate from which a workspace gets advances.
+	advanceRequests int
+	routers         []*Loans
+	byName          map[string]*Loans
+	workspaces      []string
+	stop            func()
+	timer           *jvtimer.Service
+	startedAt       time.Time
 
 	mu              sync.Mutex
 	random          *rand.Rand
@@ -167,6 +169,7 @@
 	o := DefaultOptions()
 	o.Allocator, o.Self, o.Others, o.Settled = jvgrant.NewAllocator(g), members.Self, members.Others, members.Settled
 	o.Timer, o.Logger, o.Random, o.Holders = f.timer, logr.Discard(), f.float, f.holders
+	o.AdvanceRequests = f.advanceRequests
 	o.Send = func(to jvmember.Member, data []byte) { f.send(to.Name, name, data) }
 	l := New(o)
 	f.routers = append(f.routers, l)
@@ -230,11 +233,33 @@
 	all.Wait()
 }
 
+// advanceRates are the rates from which workspaces get advances: the default, which few of these tests reach, and one that
+// each request reaches.
+var advanceRates = []int{DefaultOptions().AdvanceRequests, 1}
+
+// eachAdvanceRate runs a test with n routers for each rate from which workspaces get advances.
+func eachAdvanceRate(t *testing.T, n, holders int, test func(t *testing.T, f *fleet)) {
+	for _, rate := range advanceRates {
+		t.Run(fmt.Sprint(rate), func(t *testing.T) {
+			inFleet(t, n, holders, rate, func(f *fleet) { test(t, f) })
+		})
+	}
+}
+
+// draws returns the number of requests that drew on an advance.
+func (f *fleet) draws() (sum int64) {
+	for _, l := range f.routers {
+		c, _ := l.advances.snapshot()
+		sum += c.Draws
+	}
+	return sum
+}
+
 // inFleet runs a test with n routers that share a store with the rates of a large deployment.
-func inFleet(t *testing.T, n, holders int, test func(f *fleet)) {
+func inFleet(t *testing.T, n, holders, advanceRequests int, test func(f *fleet)) {
 	synctest.Test(t, func(*testing.T) {
 		f := &fleet{
-			store: &store{readsPerS: 16_000, writesPerS: 4_000}, topics: map[string]*jvtopic.Topic{}, holders: holders,
+			store: &store{readsPerS: 16_000, writesPerS: 4_000}, topics: map[string]*jvtopic.Topic{}, holders: holders, advanceRequests: advanceRequests,
 			byName: map[string]*Loans{}, startedAt: time.Now(), timer: jvtimer.NewService(), random: rand.New(rand.NewPCG(1, uint64(n))),
 		}
 		for i := range 40 {
@@ -263,44 +288,50 @@
 // TestStartStaysWithinTheRatesOfTheStore guards against a fleet whose routers ask the store for more than it takes, are
 // refused, and ask again: 330 routers start at the same time beside 128 servers that write about once a second.
 func TestStartStaysWithinTheRatesOfTheStore(t *testing.T) {
-	var total, refused, served, refusedRequests int
-	inFleet(t, 330, 12, func(f *fleet) {
-		for _, l := range f.routers {
-			require.True(t, l.Ready())
-		}
-		f.serve(500, 4*time.Second)
-		total, refused = f.store.calls()
-		served, refusedRequests = f.served, f.refused
-	})
-	// A test that ends amid its routers panics.
-	t.Logf("%d calls, %d refused; %d requests served, %d refused", total, refused, served, refusedRequests)
-	require.Zero(t, refused)
-	require.Less(t, refusedRequests, served/100)
+	for _, rate := range advanceRates {
+		var total, refused, served, refusedRequests int
+		inFleet(t, 330, 12, rate, func(f *fleet) {
+			for _, l := range f.routers {
+				require.True(t, l.Ready())
+			}
+			f.serve(500, 4*time.Second)
+			total, refused = f.store.calls()
+			served, refusedRequests = f.served, f.refused
+			t.Logf("%d draws", f.draws())
+		})
+		// A test that ends amid its routers panics.
+		t.Logf("%d calls, %d refused; %d requests served, %d refused", total, refused, served, refusedRequests)
+		require.Zero(t, refused)
+		require.Less(t, refusedRequests, served/100)
+	}
 }
 
 // TestFewHoldersServeAStoreOutage guards against requests that are refused although tokens are left, since they are at
 // other routers: 83 routers lose the store for 8 s while they serve 40 workspaces. The baseline is a part of each budget at
 // each router.
 func TestFewHoldersServeAStoreOutage(t *testing.T) {
-	refused := map[int]int{}
-	for _, holders := range []int{0, 12} {
-		inFleet(t, 83, holders, func(f *fleet) {
+	type trial struct{ holders, rate int }
+	refused := map[trial]int{}
+	for _, c := range []trial{{0, advanceRates[0]}, {12, advanceRates[0]}, {12, advanceRates[1]}} {
+		inFleet(t, 83, c.holders, c.rate, func(f *fleet) {
 			f.serve(300, 5*time.Second)
 			f.store.cut()
 			f.serve(300, 8*time.Second)
 			total, _ := f.store.calls()
-			t.Logf("%d holders: %d calls; %d requests served, %d refused", holders, total, f.served, f.refused)
-			refused[holders] = f.refused
+			t.Logf("%+v: %d calls; %d requests served, %d refused, %d draws", c, total, f.served, f.refused, f.draws())
+			refused[c] = f.refused
 			require.Positive(t, f.served)
 		})
 	}
-	require.Less(t, refused[12], refused[0]/4)
+	for _, rate := range advanceRates {
+		require.Less(t, refused[trial{12, rate}], refused[trial{0, advanceRates[0]}]/4)
+	}
 }
 
 // TestRoutersThatHeldReturn guards against tokens that are lost for all others, and against a herd of writers at each restart,
 // where routers held parts of their own before, as those of earlier builds do: 83 of them are replaced.
 func TestRoutersThatHeldReturn(t *testing.T) {
-	inFleet(t, 83, 0, func(f *fleet) {
+	eachAdvanceRate(t, 83, 0, func(t *testing.T, f *fleet) {
 		f.serve(100, 5*time.Second)
 		f.holders = 12
 		f.stop()
@@ -326,7 +357,7 @@
 // TestFleetWhoseStoreIsSetBack guards against tokens that are taken twice, and against a herd of calls, when the store of many routers
 // comes back from an earlier copy: then what each holds is on record again, and no call is refused.
 func TestFleetWhoseStoreIsSetBack(t *testing.T) {
-	inFleet(t, 330, 12, func(f *fleet) {
+	eachAdvanceRate(t, 330, 12, func(t *testing.T, f *fleet) {
 		f.serve(500, 3*time.Second)
 		ends := map[string]int{}
 		for name, topic := range f.topics {
