jvloan: a search has room for all its responses

A holder that becomes suspected while a request searches is asked in both passes, so more responses could come than the channel had room for: the goroutine that received the packet was blocked for good. The race detector run of TestCongestedLinkServesFromAdvances showed it (1 of 20 runs; 60 passed since). The test reads its packet count with the lock.

--- a/internal/jvloan/advance_test.go
+++ b/internal/jvloan/advance_test.go
@@ -63,8 +63,8 @@
 			})
 		}
 		running.Wait()
-		result.packets = n.sent
 		n.mu.Lock()
+		result.packets = n.sent
 		n.calm = true
 		n.mu.Unlock()
 		time.Sleep(time.Minute)
--- a/internal/jvloan/search.go
+++ b/internal/jvloan/search.go
@@ -37,7 +37,7 @@
 func newSearch(l *Loans, workspace string, tokens int64, candidates []jvmember.Member) *search {
 	return &search{
 		loans: l, workspace: workspace, tokens: tokens, candidates: candidates,
-		responses: make(chan message, len(candidates)+1), // Each is asked once, and one of them to wait.
+		responses: make(chan message, 2*len(candidates)+1), // Each is asked twice at most, again if suspected meanwhile, and one to wait.
 		open:      map[uint64]asked{},
 	}
 }
