--- a/internal/jvrelay/active.go
+++ b/internal/jvrelay/active.go
@@ -30,7 +30,11 @@
 	features jvquarantine.Features
 	// maxEventTokens is the maximum number of tokens in one event of the response.
 	maxEventTokens int64
-	deadline       time.Time
+	// capacityTokens is the number of tokens that a target of the pool holds in memory, or 0 if it is unknown.
+	capacityTokens int64
+	// recordBegan records that the response of the present attempt at a target of this router has begun.
+	recordBegan func()
+	deadline    time.Time
 
 	// attempts counts all attempts, possibleRuns those that a target may have run, notRun those
 	// that no target ran.
--- a/internal/jvrelay/attempt.go
+++ b/internal/jvrelay/attempt.go
@@ -22,6 +22,7 @@
 	}()
 	d := r.newDispatch(a)
 	d.Target = lease.Target
+	a.recordBegan = lease.Began
 	response, err := r.send(ctx, a, d)
 	if err != nil {
 		return r.classify(ctx, err)
@@ -69,7 +70,7 @@
 		r.options.Reach.End()
 		return nil, err
 	}
-	response.Body = &contactBody{ReadCloser: response.Body, reach: r.options.Reach, target: d.Target.Name}
+	response.Body = &contactBody{ReadCloser: response.Body, reach: r.options.Reach, target: d.Target.Name, began: a.recordBegan}
 	r.options.Reach.Contact(d.Target.Name)
 	if response.Load != nil {
 		r.targets.RecordLoad(a.pool, d.Target.Name, *response.Load)
@@ -95,6 +96,8 @@
 	reach  *jvreach.Monitor
 	target string
 	closed bool
+	// began is called with the first part, and nil after that.
+	began func()
 }
 
 // Read implements io.Reader.
@@ -102,6 +105,10 @@
 	n, err := b.ReadCloser.Read(p)
 	if n > 0 {
 		b.reach.Contact(b.target)
+		if b.began != nil {
+			b.began()
+			b.began = nil
+		}
 	}
 	return n, err
 }
--- a/internal/jvrelay/peer.go
+++ b/internal/jvrelay/peer.go
@@ -81,6 +81,7 @@
 		a.startAttempt(r.options.Timer.Now(), try{lease: lease})
 		a.setTarget(lease.Target, r.registry.startedAt(lease.Target.Name))
 		d.Target = lease.Target
+		a.recordBegan = lease.Began
 		d.Timeout = a.deadline.Sub(r.options.Timer.Now())
 		response, err = r.send(ctx, a, d)
 		if !errors.Is(err, ErrConnectionRefused) || len(a.avoid) == maxRefusals || ctx.Err() != nil {
--- a/internal/jvrelay/request.go
+++ b/internal/jvrelay/request.go
@@ -78,6 +78,18 @@
 	return q.PromptParts[max(0, len(q.PromptParts)-2)].ID
 }
 
+// prefixTokens returns the number of tokens up to the end of the part that prefixID identifies.
+func (q *Request) prefixTokens() int64 {
+	if len(q.PromptParts) == 0 {
+		return 0
+	}
+	n := int64(0)
+	for _, p := range q.PromptParts[:max(1, len(q.PromptParts)-1)] {
+		n += p.Tokens
+	}
+	return n
+}
+
 // sharedParts returns the IDs of the prompt parts that other requests may share: all but the last.
 func (q *Request) sharedParts() []string {
 	shared := q.PromptParts[:max(0, len(q.PromptParts)-1)]
--- a/internal/jvrelay/serve.go
+++ b/internal/jvrelay/serve.go
@@ -126,6 +126,7 @@
 	a.pool = route.SelectPool(r.options.Random.Float())
 	if pool, ok := t.Pool(a.pool); ok {
 		a.maxEventTokens = pool.MaxEventTokens
+		a.capacityTokens = pool.KVCapacityTokens
 	}
 	if route.Timeout > 0 {
 		a.deadline = earlier(a.deadline, q.ArrivedAt.Add(route.Timeout))
@@ -212,11 +213,16 @@
 		Deadline: a.deadline,
 		Bound:    a.bound,
 		Version:  a.origin.Version,
+
+		PromptTokens:   a.request.Usage.PromptTokens,
+		OutputTokens:   a.request.Usage.OutputTokens,
+		CapacityTokens: a.capacityTokens,
 	}
 	// Requests that were running in the same crash are spread over targets, so that the next crash shows
 	// which of them causes it.
 	if a.route.CachedPrefixes && !r.options.Quarantine.Suspected(a.features.Request) {
 		s.Prefix = a.request.prefixID()
+		s.SharedTokens = a.request.prefixTokens()
 	}
 	return s
 }
--- a/internal/jvtarget/acquire.go
+++ b/internal/jvtarget/acquire.go
@@ -33,6 +33,13 @@
 	// Bound restricts the request to targets of a version of the software. If Version is empty, none will do.
 	Bound   bool
 	Version string
+	// PromptTokens and OutputTokens are the maximum usage of the request, or 0 if it is unknown. SharedTokens is the part
+	// of the prompt up to the end of the prefix.
+	PromptTokens int64
+	OutputTokens int64
+	SharedTokens int64
+	// CapacityTokens is the number of tokens that a target of the pool holds in memory, or 0 if it is unknown.
+	CapacityTokens int64
 }
 
 // WithAvoided returns a request that avoids further targets.
@@ -89,6 +96,9 @@
 	if p == nil {
 		return nil, Lease{}, newRefusal(KindNoTarget, minRetryAfter, "there is no pool %s", q.Pool)
 	}
+	if tokens := q.PromptTokens + q.OutputTokens; p.byExpectedTime(t.timer.Now()) && !fits(q.CapacityTokens, 0, tokens) {
+		return nil, Lease{}, newRefusal(KindNoTarget, maxRetryAfter, "%d tokens exceed the memory of %d tokens of each target of pool %s", tokens, q.CapacityTokens, q.Pool)
+	}
 	if !p.waiting.blocks(q) {
 		lease, kind := p.acquire(t, q)
 		if kind == "" {
--- a/internal/jvtarget/candidate.go
+++ b/internal/jvtarget/candidate.go
@@ -15,6 +15,8 @@
 	SameZone bool
 	// Answered is true if the target has responded lately and not failed since.
 	Answered bool
+	// others is the number of other routers' requests by the target's last report, whatever its age.
+	others int64
 }
 
 // Weights are how selection weighs load against other criteria, as shares of a target's slots.
@@ -39,12 +41,7 @@
 // one and the one that the prefix hashes to, or another random one if there is no prefix. It
 // returns -1 if no candidate has a free slot.
 func (w Weights) Select(candidates []Candidate, prefix string, random func() float64) int {
-	free := make([]int, 0, len(candidates))
-	for i, c := range candidates {
-		if c.Busy < c.Slots {
-			free = append(free, i)
-		}
-	}
+	free := freeCandidates(candidates)
 	if len(free) == 0 {
 		return -1
 	}
@@ -64,6 +61,17 @@
 	return first
 }
 
+// freeCandidates returns the indexes of the candidates with a free slot.
+func freeCandidates(candidates []Candidate) []int {
+	free := make([]int, 0, len(candidates))
+	for i, c := range candidates {
+		if c.Busy < c.Slots {
+			free = append(free, i)
+		}
+	}
+	return free
+}
+
 func randomIndex(n int, random func() float64) int { return min(int(random()*float64(n)), n-1) }
 
 // score returns a candidate's load as a share of its slots, less the bonus, plus crossZone if it is
--- a/internal/jvtarget/lease.go
+++ b/internal/jvtarget/lease.go
@@ -37,5 +37,8 @@
 // Release returns the slot to the table.
 func (l Lease) Release(r Result) { l.table.release(l, r) }
 
+// Began records that the target's response has begun, by which the speed of the target is learned.
+func (l Lease) Began() { l.table.recordBegan(l) }
+
 // Progress records that the target has sent part of the response.
 func (l Lease) Progress() { l.table.recordProgress(l) }
--- a/internal/jvtarget/load.go
+++ b/internal/jvtarget/load.go
@@ -14,6 +14,10 @@
 	Instance string `json:"instance"`
 	// ReportedAt is when the target made the report.
 	ReportedAt time.Time `json:"at"`
+	// Figure is how long work takes on the target at present, 100 as usual, or 0 if the report does not say.
+	Figure float64 `json:"figure,omitempty"`
+	// Slots is the number of slots that the target reports, or 0 if the report does not say.
+	Slots int64 `json:"slots,omitempty"`
 }
 
 // maxFinished limits the finished requests that are kept for one target. While one report is on its
@@ -72,7 +76,19 @@
 // the number of this router's own requests in progress. The requests of other routers count less
 // as the report ages and not at all from maxAge on; a maxAge of 0 counts them in full.
 func (t *traffic) estimate(l Load, maxAge time.Duration, now time.Time) int64 {
-	own := int64(len(t.starts))
+	return int64(len(t.starts)) + decayed(t.others(l), now.Sub(l.ReportedAt), maxAge)
+}
+
+// decayed returns how many of other routers' requests count at an age of the report.
+func decayed(others int64, age, maxAge time.Duration) int64 {
+	if maxAge > 0 && age > 0 {
+		return int64(math.Round(float64(others) * max(0, 1-float64(age)/float64(maxAge))))
+	}
+	return others
+}
+
+// others returns the number of other routers' requests by a report, whatever its age.
+func (t *traffic) others(l Load) int64 {
 	n := l.Busy
 	for _, s := range t.starts {
 		if s.After(l.ReportedAt) {
@@ -84,9 +100,5 @@
 			n--
 		}
 	}
-	others := max(n-own, 0)
-	if age := now.Sub(l.ReportedAt); maxAge > 0 && age > 0 {
-		others = int64(math.Round(float64(others) * max(0, 1-float64(age)/float64(maxAge))))
-	}
-	return own + others
+	return max(n-int64(len(t.starts)), 0)
 }
--- a/internal/jvtarget/table.go
+++ b/internal/jvtarget/table.go
@@ -26,6 +26,13 @@
 	missedPolls int
 	// running are this router's attempts in progress on the target, by attempt ID.
 	running map[string]*runningAttempt
+	// ownWork is the work left of these attempts, ownTokens the number of their tokens.
+	ownWork   time.Duration
+	ownTokens int64
+	// figure is the work figure that the target reported last, at figureAt, or 0.
+	figure   float64
+	figureAt time.Time
+	speed    speed
 }
 
 // runningAttempt is an attempt in progress.
@@ -37,6 +44,11 @@
 	progress bool
 	// crashed is true once the crash that ended the attempt was recorded.
 	crashed bool
+	// cost and expected are what the attempt was expected to cost and to take until its response begins.
+	cost     cost
+	expected time.Duration
+	// began is true once the response has begun.
+	began bool
 }
 
 // CrashedRequest is a request that was running on a target when it crashed.
@@ -57,6 +69,14 @@
 	classSeconds map[string]float64
 	// brittleUntil is when the pool's targets stop being brittle, unless they say again that they are.
 	brittleUntil time.Time
+	// figureUntil is until when targets are selected by expected time, unless one reports a work figure again.
+	figureUntil time.Time
+	// meanWorkSeconds and meanTokens are the moving means of the cost of a request, meanOthers that of the number of
+	// other routers' requests in a report.
+	meanWorkSeconds float64
+	meanTokens      float64
+	meanOthers      float64
+	speed           speed
 }
 
 // Limiter tells how many requests this router may send to targets that limit what all routers together send.
@@ -235,6 +255,7 @@
 	g.load = l
 	g.respondedAt = t.timer.Now()
 	g.traffic.expire(l.ReportedAt)
+	p.recordFigure(g, l, g.traffic.others(l))
 	if g.missedPolls >= missedPollLimit {
 		g.health.succeeded()
 	}
@@ -287,7 +308,8 @@
 // candidatesIn returns the targets that accept a request now, either those in service or those that are leaving.
 func (p *pool) candidatesIn(t *Table, q Request, leaving bool) []Candidate {
 	now := t.timer.Now()
-	brittle := p.brittle(now)
+	brittle, timed := p.brittle(now), p.byExpectedTime(now)
+	maxAge, tokens := p.maxReportAge(t.weights.MaxReportAge), p.cost(q, 1).tokens
 	index, n := t.sharers()
 	list := make([]Candidate, 0, len(p.targets))
 	for name, g := range p.targets {
@@ -297,12 +319,16 @@
 		if wait, limited := t.limiter.Wait(name); limited && wait > 0 || !t.signs.backoffOf(name).allows(now, g) {
 			continue
 		}
-		busy := g.traffic.estimate(g.load, p.maxReportAge(t.weights.MaxReportAge), now)
+		others := g.traffic.others(g.load)
+		if timed && !fits(q.CapacityTokens, p.held(g, others, now), tokens) {
+			continue
+		}
+		busy := int64(len(g.traffic.starts)) + decayed(others, now.Sub(g.load.ReportedAt), maxAge)
 		if brittle && !g.hasShare(shareOf(name, g.config.Slots, index, n), busy, now) {
 			continue
 		}
 		answered := g.health.failures == 0 && !g.respondedAt.IsZero() && now.Sub(g.respondedAt) < answeredAge
-		list = append(list, Candidate{Name: name, Slots: g.config.Slots, Busy: busy, SameZone: g.config.Zone == t.zone, Answered: answered})
+		list = append(list, Candidate{Name: name, Slots: g.config.Slots, Busy: busy, SameZone: g.config.Zone == t.zone, Answered: answered, others: others})
 	}
 	list = t.signs.withoutDoubted(list, now)
 	slices.SortFunc(list, func(a, b Candidate) int {
@@ -337,17 +363,21 @@
 	if q.PreferAnswered {
 		list = preferAnswered(list)
 	}
-	i := t.weights.Select(list, q.Prefix, t.random)
-	if i < 0 {
+	s := p.selectTarget(t, list, q)
+	if s.index < 0 {
 		return Lease{}, KindOverloaded
 	}
-	c := list[i]
+	c := list[s.index]
 	g := p.targets[c.Name]
 	t.limiter.Take(c.Name)
 	g.traffic.start(q.Attempt, t.timer.Now())
-	g.running[q.Attempt] = &runningAttempt{digest: q.Digest, parts: q.Parts}
+	g.begin(q.Attempt, &runningAttempt{digest: q.Digest, parts: q.Parts, cost: s.cost, expected: s.expected})
+	p.recordCost(q, s.cost)
 	g.health.selected()
 	reason := fmt.Sprintf("%s has %d of %d slots busy, %d candidates, near=%t", c.Name, c.Busy, c.Slots, len(list), c.SameZone)
+	if p.byExpectedTime(t.timer.Now()) {
+		reason += fmt.Sprintf(", expected=%s", s.expected.Round(time.Millisecond))
+	}
 	return Lease{Target: g.config, Attempt: q.Attempt, Reason: reason, table: t, pool: q.Pool, class: q.Class}, ""
 }
 
@@ -363,6 +393,7 @@
 	startedAt, started := g.traffic.starts[l.Attempt]
 	if started && r == ResultSucceeded {
 		p.recordService(l.class, now.Sub(startedAt))
+		p.recordBegan(g, g.running[l.Attempt], now.Sub(startedAt))
 	}
 	if r == ResultTimedOut {
 		r = ResultSilent
@@ -374,7 +405,7 @@
 		r = ResultInconclusive
 	}
 	g.traffic.finish(l.Attempt, now)
-	delete(g.running, l.Attempt)
+	g.end(l.Attempt)
 	switch r {
 	case ResultSucceeded:
 		g.respondedAt = now
@@ -464,6 +495,18 @@
 	return requests
 }
 
+// recordBegan records that the response to a lease's attempt has begun.
+func (t *Table) recordBegan(l Lease) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.pools[l.pool]
+	if p == nil || p.targets[l.Target.Name] == nil {
+		return
+	}
+	g := p.targets[l.Target.Name]
+	p.recordBegan(g, g.running[l.Attempt], t.timer.Since(g.traffic.starts[l.Attempt]))
+}
+
 // recordProgress records that a lease's target has sent part of the response.
 func (t *Table) recordProgress(l Lease) {
 	t.mu.Lock()
--- a/internal/jvtarget/view.go
+++ b/internal/jvtarget/view.go
@@ -23,6 +23,16 @@
 	Failures int `json:"failures"`
 	// PausedUntil is when the target may be selected again after a failure.
 	PausedUntil time.Time `json:"until"`
+	// Figure is the work figure that the target reported last, at FigureAt; 100 is its usual speed.
+	Figure   float64   `json:"figure"`
+	FigureAt time.Time `json:"figureAt"`
+	// Slowness is how many times longer than the pool's mean the target takes, as learned. Expected is the time that a
+	// new request would wait there for the work ahead of it, in seconds.
+	Slowness float64 `json:"slowness"`
+	Expected float64 `json:"expected"`
+	// Held is the estimated number of tokens of all requests on the target, ReportedSlots the number of slots in its last report.
+	Held          int64 `json:"held"`
+	ReportedSlots int64 `json:"reportedSlots"`
 }
 
 // PoolView is the state of one pool as the dump shows it.
@@ -34,6 +44,8 @@
 	Brittle bool `json:"brittle"`
 	// MeanServiceSeconds is the mean time for which a request holds a slot.
 	MeanServiceSeconds float64 `json:"service"`
+	// ByExpectedTime is true while targets are selected by expected time, and not by the number of busy slots.
+	ByExpectedTime bool `json:"byExpectedTime"`
 }
 
 // CountPaused returns the number of targets in service that are not selected after failures.
@@ -55,23 +67,31 @@
 func (t *Table) Views() map[string]PoolView {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := t.timer.Now()
 	views := map[string]PoolView{}
 	for name, p := range t.pools {
-		v := PoolView{Waiting: len(p.waiting), MeanServiceSeconds: p.meanServiceSeconds, Brittle: p.brittle(t.timer.Now())}
+		v := PoolView{Waiting: len(p.waiting), MeanServiceSeconds: p.meanServiceSeconds, Brittle: p.brittle(now), ByExpectedTime: p.byExpectedTime(now)}
 		for n, g := range p.targets {
+			others, slowness := g.traffic.others(g.load), g.speed.slowness(p.speed)
 			v.Targets = append(v.Targets, TargetView{
-				Target:       n,
-				Zone:         g.config.Zone,
-				Slots:        g.config.Slots,
-				Reported:     g.load.Busy,
-				ReportedAt:   g.load.ReportedAt,
-				OwnRequests:  len(g.traffic.starts),
-				Estimate:     g.traffic.estimate(g.load, p.maxReportAge(t.weights.MaxReportAge), t.timer.Now()),
-				Leaving:      t.isLeaving(g),
-				Evacuated:    t.isEvacuated(g),
-				BackoffUntil: t.signs.backoffOf(n).end,
-				Failures:     g.health.failures,
-				PausedUntil:  g.health.pausedUntil,
+				Target:        n,
+				Zone:          g.config.Zone,
+				Slots:         g.config.Slots,
+				Reported:      g.load.Busy,
+				ReportedAt:    g.load.ReportedAt,
+				OwnRequests:   len(g.traffic.starts),
+				Estimate:      g.traffic.estimate(g.load, p.maxReportAge(t.weights.MaxReportAge), now),
+				Leaving:       t.isLeaving(g),
+				Evacuated:     t.isEvacuated(g),
+				BackoffUntil:  t.signs.backoffOf(n).end,
+				Failures:      g.health.failures,
+				PausedUntil:   g.health.pausedUntil,
+				Figure:        g.figure,
+				FigureAt:      g.figureAt,
+				Slowness:      slowness,
+				Expected:      slowness * p.outlookOf(g, others, now).expected(0).Seconds(),
+				Held:          p.held(g, others, now),
+				ReportedSlots: g.load.Slots,
 			})
 		}
 		views[name] = v
