--- a/internal/jvrelay/fake_test.go
+++ b/internal/jvrelay/fake_test.go
@@ -24,6 +24,7 @@
 	"github.com/jasminevale/jasminevale/internal/jvquarantine"
 	"github.com/jasminevale/jasminevale/internal/jvreach"
 	"github.com/jasminevale/jasminevale/internal/jvroute"
+	"github.com/jasminevale/jasminevale/internal/jvtarget"
 	"github.com/jasminevale/jasminevale/internal/jvtimer"
 	"github.com/jasminevale/jasminevale/internal/jvversion"
 )
@@ -45,6 +46,8 @@
 	// leaving says that the target leaves, retryAfter for how long it wants no requests.
 	leaving    bool
 	retryAfter time.Duration
+	// figure is the work figure of the target's load report, or 0 for none.
+	figure float64
 	// unframed ends the body with the connection.
 	unframed bool
 	// cut ends the body with an error; hang never ends it.
@@ -104,8 +107,12 @@
 	if c.err != "" {
 		return nil, jvfault.New("send", c.err, nil)
 	}
+	var load *jvtarget.Load
+	if c.figure > 0 {
+		load = &jvtarget.Load{Figure: c.figure, ReportedAt: time.Now()}
+	}
 	return &Response{
-		Status: c.status, Header: http.Header{}, Body: io.NopCloser(&scriptBody{ctx: ctx, rest: c.body, script: c}),
+		Load: load, Status: c.status, Header: http.Header{}, Body: io.NopCloser(&scriptBody{ctx: ctx, rest: c.body, script: c}),
 		Refused: c.refused || c.wrongInstance, WrongInstance: c.wrongInstance, Signed: !c.unsigned, End: endOf(c.unframed),
 		Limit: c.limit, NamesLimit: c.limit != nil || c.namesLimit, Unidentified: c.unidentified, Leaving: c.leaving, RetryAfter: c.retryAfter,
 	}, nil
--- a/internal/jvtarget/bench_test.go
+++ b/internal/jvtarget/bench_test.go
@@ -12,13 +12,16 @@
 )
 
 func BenchmarkAcquire(b *testing.B) {
-	for _, targets := range []int{6, 20, 600} {
-		b.Run(fmt.Sprint(targets, "targets"), func(b *testing.B) {
+	for _, c := range []struct {
+		targets int
+		figure  float64
+	}{{6, 0}, {60, 0}, {60, 100}, {600, 0}} {
+		b.Run(fmt.Sprintf("%dtargets,figure%g", c.targets, c.figure), func(b *testing.B) {
 			timer := jvtimer.NewService()
 			defer timer.Close()
 			table := NewTable("a", timer, func() float64 { return 0.4 })
 			body := `{"name":"e","kind":"engine","targets":[`
-			for n := range targets {
+			for n := range c.targets {
 				if n > 0 {
 					body += ","
 				}
@@ -29,7 +32,13 @@
 				b.Fatal(err)
 			}
 			table.Configure(catalog)
-			request := Request{Pool: "e", Attempt: "r.1", Prefix: "prefix", Deadline: time.Now().Add(time.Hour)}
+			for n := range c.targets {
+				table.RecordLoad("e", fmt.Sprint("e", n), Load{Busy: 3, Figure: c.figure, ReportedAt: time.Now()})
+			}
+			request := Request{
+				Pool: "e", Attempt: "r.1", Prefix: "prefix", Deadline: time.Now().Add(time.Hour),
+				PromptTokens: 3000, OutputTokens: 200, SharedTokens: 2000, CapacityTokens: 700_000,
+			}
 			b.ReportAllocs()
 			for b.Loop() {
 				l, err := table.Acquire(context.Background(), request)
--- a/internal/jvtarget/expected.go
+++ b/internal/jvtarget/expected.go
@@ -35,10 +35,11 @@
 
 const (
 	// speedDecay and poolSpeedDecay are what remains of earlier samples of a speed with each new one.
-	speedDecay     = 0.9
+	speedDecay     = 0.95
 	poolSpeedDecay = 0.99
-	// priorSamples is the number of samples at the pool's speed that each target's speed begins with.
-	priorSamples = 3
+	// priorSamples is the number of samples at the pool's speed that each target's speed begins with. With 3, single samples
+	// moved 16% of the requests away from their preferred targets, without a lower p99.
+	priorSamples = 20
 	// maxSlowness bounds a learned speed. Targets differ by a factor of 2.2; more is likely another cause.
 	maxSlowness = 4
 )
@@ -226,7 +227,8 @@
 		}
 		return c, p.outlookOf(g, list[i].others, now).expected(c.own)
 	}
-	i, preferred := -1, false
+	var i int
+	preferred := false
 	if !p.byExpectedTime(now) {
 		i = t.weights.Select(list, q.Prefix, t.random)
 	} else {
--- a/internal/jvtarget/expected_test.go
+++ b/internal/jvtarget/expected_test.go
@@ -181,7 +181,7 @@
 	readUntil time.Time
 	running   int64
 	served    int
-	kept      map[string]bool
+	kept      []string // Prefixes whose tokens are still in memory, the latest first.
 }
 
 // slowness returns how many times the usual time work takes, and how many times its own usual time.
@@ -212,14 +212,14 @@
 
 // simulate sends requests through many routers to 60 targets. policy is count, expected or full.
 func simulate(t *testing.T, policy string, perSecond float64) (result simResult) {
-	const routers, targets, requests, shared = 74, 60, 24_000, 2400
+	const routers, targets, requests, shared, maxKept = 74, 60, 12_000, 2400, 12
 	synctest.Test(t, func(t *testing.T) {
 		timer := jvtimer.NewService()
 		defer timer.Close()
 		random := rand.New(rand.NewPCG(5, 6))
 		sims, list, all := make([]simTarget, targets), make([]Candidate, targets), make([]int, targets)
 		for i := range sims {
-			sims[i] = simTarget{speed: []float64{0.55, 1.2, 1.2, 1.2}[i%4], kept: map[string]bool{}}
+			sims[i] = simTarget{speed: []float64{0.55, 1.2, 1.2, 1.2}[i%4]}
 			list[i], all[i] = Candidate{Name: fmt.Sprintf("t%d", i)}, i
 			if i%7 == 0 {
 				sims[i].nextSlow = timer.Now().Add(time.Duration(random.IntN(3000)) * time.Millisecond)
@@ -242,7 +242,7 @@
 				var lease Lease
 				var i int
 				unread := func(g *simTarget) int64 {
-					if g.kept[prefix] {
+					if slices.Contains(g.kept, prefix) {
 						return prompt - shared
 					}
 					return prompt
@@ -275,7 +275,8 @@
 					preferred++
 				}
 				g.readUntil = timer.Now().Add(g.expected(timer.Now(), unread(g), random))
-				g.kept[prefix] = true
+				g.kept = slices.DeleteFunc(g.kept, func(p string) bool { return p == prefix })
+				g.kept = slices.Insert(g.kept, 0, prefix)[:min(len(g.kept)+1, maxKept)]
 				g.running++
 				g.served++
 				if policy != "full" {
@@ -314,11 +315,15 @@
 // herds: 74 routers read reports of different ages.
 func TestExpectedTimeAgainstCounts(t *testing.T) {
 	results := map[string]simResult{}
-	for _, perSecond := range []float64{200, 300, 400, 500} {
-		for _, policy := range []string{"count", "expected", "full"} {
-			results[policy] = simulate(t, policy, perSecond)
-			r := results[policy]
-			t.Logf("%g %s: p50 %s, p99 %s, busiest %.2f of the mean, preferred %.2f", perSecond, policy, r.p50.Round(time.Millisecond), r.p99.Round(time.Millisecond), r.busiest, r.preferred)
-		}
+	for _, policy := range []string{"count", "expected", "full"} {
+		r := simulate(t, policy, 400)
+		results[policy] = r
+		t.Logf("%s: p50 %s, p99 %s, busiest %.2f of the mean, preferred %.2f", policy, r.p50.Round(time.Millisecond), r.p99.Round(time.Millisecond), r.busiest, r.preferred)
 	}
+	count, expected, full := results["count"], results["expected"], results["full"]
+	require.Less(t, expected.p99, count.p99*3/4)
+	require.Less(t, expected.p50, count.p50*3/2)
+	require.Less(t, expected.busiest, count.busiest)
+	require.Greater(t, expected.preferred, 0.6)
+	require.Less(t, full.p99, expected.p99, "the model shows no difference between selections")
 }
--- a/internal/jvtarget/table.go
+++ b/internal/jvtarget/table.go
@@ -308,7 +308,7 @@
 // candidatesIn returns the targets that accept a request now, either those in service or those that are leaving.
 func (p *pool) candidatesIn(t *Table, q Request, leaving bool) []Candidate {
 	now := t.timer.Now()
-	brittle, timed := p.brittle(now), p.byExpectedTime(now)
+	brittle, bounded := p.brittle(now), q.CapacityTokens > 0 && p.byExpectedTime(now)
 	maxAge, tokens := p.maxReportAge(t.weights.MaxReportAge), p.cost(q, 1).tokens
 	index, n := t.sharers()
 	list := make([]Candidate, 0, len(p.targets))
@@ -320,7 +320,7 @@
 			continue
 		}
 		others := g.traffic.others(g.load)
-		if timed && !fits(q.CapacityTokens, p.held(g, others, now), tokens) {
+		if bounded && !fits(q.CapacityTokens, p.held(g, others, now), tokens) {
 			continue
 		}
 		busy := int64(len(g.traffic.starts)) + decayed(others, now.Sub(g.load.ReportedAt), maxAge)
