--- a/internal/jvrelay/dump.go
+++ b/internal/jvrelay/dump.go
@@ -67,6 +67,8 @@
 	r.options.Meter.Gauge("jv_relay_evacuated_zones", func() float64 { return float64(len(r.evacuations.list())) })
 	r.options.Meter.Gauge("jv_relay_expected_time_pools", func() float64 { n, _ := r.targets.CountByExpectedTime(); return float64(n) })
 	r.options.Meter.Gauge("jv_relay_slow_targets", func() float64 { _, n := r.targets.CountByExpectedTime(); return float64(n) })
+	r.options.Meter.Gauge("jv_relay_waiting_requests", func() float64 { n, _ := r.targets.CountWaiting(); return float64(n) })
+	r.options.Meter.Gauge("jv_relay_waiting_workspaces", func() float64 { _, n := r.targets.CountWaiting(); return float64(n) })
 	r.options.Meter.Gauge("jv_relay_config_version", func() float64 {
 		if t := r.table.Load(); t != nil {
 			return float64(t.Version())
--- a/internal/jvrelay/peer.go
+++ b/internal/jvrelay/peer.go
@@ -72,7 +72,7 @@
 	for {
 		lease, err = r.targets.Acquire(ctx, jvtarget.Request{
 			Pool: s.Pool, Attempt: fmt.Sprintf("%s.%d", attempt, a.attempts), Prefix: s.Prefix, Digest: s.Features.Request[:],
-			Priority: -d.Priority, Avoid: slices.Concat(a.avoid, s.Avoid), PreferAnswered: true, Deadline: a.deadline, Bound: s.Bound, Version: s.Version,
+			Priority: -d.Priority, Workspace: d.Workspace, Avoid: slices.Concat(a.avoid, s.Avoid), PreferAnswered: true, Deadline: a.deadline, Bound: s.Bound, Version: s.Version,
 		})
 		if err != nil {
 			a.target = ""
--- a/internal/jvrelay/serve.go
+++ b/internal/jvrelay/serve.go
@@ -210,6 +210,10 @@
 		Digest:   a.features.Request[:],
 		Priority: -a.priority,
 		Avoid:    a.avoid,
+
+		Workspace: a.workspace,
+		Retried:   a.possibleRuns > 0,
+
 		Deadline: a.deadline,
 		Bound:    a.bound,
 		Version:  a.origin.Version,
--- a/internal/jvtarget/acquire.go
+++ b/internal/jvtarget/acquire.go
@@ -25,6 +25,10 @@
 	Parts []Part
 	// Priority orders waiting requests; larger values go first.
 	Priority int
+	// Workspace is the workspace that the request belongs to, or empty. Waiting requests of workspaces take turns.
+	Workspace string
+	// Retried is true if an earlier attempt may have run the request.
+	Retried bool
 	// Avoid names targets on which earlier attempts failed.
 	Avoid []string
 	// PreferAnswered selects one of the targets that have answered lately, if any of them has a free slot.
@@ -109,9 +113,12 @@
 		}
 	}
 	ahead := p.waiting.ahead(q)
+	if q.Workspace != "" || p.waiting.hasWorkspaces() {
+		ahead = p.waiting.aheadInTurns(q)
+	}
 	wait := p.predictWait(t, ahead, q)
 	if left := q.Deadline.Sub(t.timer.Now()); wait > left || p.minTime(q.Class) > left {
-		return nil, Lease{}, newRefusal(KindOverloaded, wait-left, "%d requests wait ahead, which takes %s of the %s left", ahead, wait, left)
+		return nil, Lease{}, newRefusal(KindOverloaded, t.spreadRetry(q, wait-left), "%d requests wait ahead, which takes %s of the %s left", ahead, wait, left)
 	}
 	w := &waiter{request: q, done: make(chan acquired, 1)}
 	p.waiting.push(w)
@@ -197,7 +204,7 @@
 	done    chan acquired
 }
 
-// waitQueue holds waiters in order of priority and then of arrival.
+// waitQueue holds waiters in order of priority and then of arrival. If one belongs to a workspace, turns decides who is next.
 type waitQueue []*waiter
 
 func (l *waitQueue) push(w *waiter) {
@@ -226,8 +233,12 @@
 	})
 }
 
-// wake assigns free slots to waiters in order; t.mu must be held.
+// wake assigns free slots to waiters in order, or in turns of workspaces; t.mu must be held.
 func (p *pool) wake(t *Table) {
+	if p.waiting.hasWorkspaces() {
+		p.wakeInTurns(t)
+		return
+	}
 	full := map[string]bool{} // Versions without a free slot.
 	now := t.timer.Now()
 	for n := 0; n < len(p.waiting); {
--- a/internal/jvtarget/bench_test.go
+++ b/internal/jvtarget/bench_test.go
@@ -11,6 +11,19 @@
 	"github.com/jasminevale/jasminevale/internal/jvtimer"
 )
 
+// BenchmarkTurns measures a slot that is given to one of 144 waiting requests of 40 workspaces.
+func BenchmarkTurns(b *testing.B) {
+	var l waitQueue
+	for n := range 144 {
+		l.push(&waiter{request: Request{Workspace: fmt.Sprint("workspace", n%40), Deadline: time.Unix(int64(n), 0)}})
+	}
+	u := newTurns()
+	b.ReportAllocs()
+	for b.Loop() {
+		serveNext(&u, &l, func(Request) float64 { return 10 }, true, time.Unix(0, 0))
+	}
+}
+
 func BenchmarkAcquire(b *testing.B) {
 	for _, c := range []struct {
 		targets int
--- a/internal/jvtarget/table.go
+++ b/internal/jvtarget/table.go
@@ -63,6 +63,7 @@
 type pool struct {
 	targets map[string]*target
 	waiting waitQueue
+	turns   turns
 	// meanServiceSeconds is the moving mean of how long a request holds a slot.
 	meanServiceSeconds float64
 	// classSeconds is the same mean for each class of requests.
@@ -192,7 +193,7 @@
 	for name, targets := range pools {
 		p := t.pools[name]
 		if p == nil {
-			p = &pool{targets: map[string]*target{}, classSeconds: map[string]float64{}}
+			p = &pool{targets: map[string]*target{}, classSeconds: map[string]float64{}, turns: newTurns()}
 			t.pools[name] = p
 		}
 		t.configurePool(p, targets, drained)
@@ -373,6 +374,9 @@
 	g.traffic.start(q.Attempt, t.timer.Now())
 	g.begin(q.Attempt, &runningAttempt{digest: q.Digest, parts: q.Parts, cost: s.cost, expected: s.expected})
 	p.recordCost(q, s.cost)
+	if q.Workspace != "" || p.waiting.hasWorkspaces() {
+		p.turns.served(q, p.waiting, max(float64(s.cost.tokens), 1), p.meanTokens, t.timer.Now())
+	}
 	g.health.selected()
 	reason := fmt.Sprintf("%s has %d of %d slots busy, %d candidates, near=%t", c.Name, c.Busy, c.Slots, len(list), c.SameZone)
 	if p.byExpectedTime(t.timer.Now()) {
--- a/internal/jvtarget/view.go
+++ b/internal/jvtarget/view.go
@@ -1,6 +1,9 @@
 package jvtarget
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // TargetView is the state of one target as the dump shows it.
 type TargetView struct {
@@ -40,6 +43,10 @@
 	Targets []TargetView `json:"targets"`
 	// Waiting is the number of requests that wait for a slot.
 	Waiting int `json:"waiting"`
+	// WaitingWorkspaces is the number of these by workspace, Deficits the tokens that each workspace lacks to its fair
+	// share, negative if it has had more lately.
+	WaitingWorkspaces map[string]int     `json:"waitingWorkspaces,omitempty"`
+	Deficits          map[string]float64 `json:"deficits,omitempty"`
 	// Brittle is true while the targets name themselves brittle.
 	Brittle bool `json:"brittle"`
 	// MeanServiceSeconds is the mean time for which a request holds a slot.
@@ -71,6 +78,15 @@
 	views := map[string]PoolView{}
 	for name, p := range t.pools {
 		v := PoolView{Waiting: len(p.waiting), MeanServiceSeconds: p.meanServiceSeconds, Brittle: p.brittle(now), ByExpectedTime: p.byExpectedTime(now)}
+		v.WaitingWorkspaces, v.Deficits = map[string]int{}, map[string]float64{}
+		for _, w := range p.waiting {
+			if w.request.Workspace != "" {
+				v.WaitingWorkspaces[w.request.Workspace]++
+			}
+		}
+		for workspace, a := range p.turns.accounts {
+			v.Deficits[workspace] = math.Round(a.deficit)
+		}
 		for n, g := range p.targets {
 			others, slowness := g.traffic.others(g.load), g.speed.slowness(p.speed)
 			v.Targets = append(v.Targets, TargetView{
