--- a/internal/jvtarget/expected_test.go
+++ b/internal/jvtarget/expected_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -229,6 +230,7 @@
 		for i := range tables {
 			tables[i] = newPool(timer, random.Float64, targets)
 		}
+		var mu sync.Mutex // Of the model: requests that end at the same moment run at once.
 		var waits []time.Duration
 		preferred := 0
 		for n := range requests {
@@ -248,12 +250,14 @@
 					return prompt
 				}
 				if policy == "full" {
+					mu.Lock()
 					lowest := time.Duration(math.MaxInt64)
 					for k := range sims {
 						if d := sims[k].expected(now, unread(&sims[k]), random); sims[k].running < 16 && d < lowest {
 							i, lowest = k, d
 						}
 					}
+					mu.Unlock()
 				} else {
 					var err error
 					lease, err = table.Acquire(context.Background(), Request{
@@ -265,6 +269,7 @@
 					}
 					_, _ = fmt.Sscanf(lease.Target.Name, "t%d", &i)
 				}
+				mu.Lock()
 				g := &sims[i]
 				slow, own := g.slowness(timer.Now(), random)
 				figure := 0.0
@@ -279,16 +284,22 @@
 				g.kept = slices.Insert(g.kept, 0, prefix)[:min(len(g.kept)+1, maxKept)]
 				g.running++
 				g.served++
+				busy, readUntil := g.running, g.readUntil
+				mu.Unlock()
 				if policy != "full" {
-					table.RecordLoad("p", lease.Target.Name, Load{Busy: g.running, Figure: figure, ReportedAt: timer.Now()})
+					table.RecordLoad("p", lease.Target.Name, Load{Busy: busy, Figure: figure, ReportedAt: timer.Now()})
 				}
-				time.Sleep(g.readUntil.Sub(timer.Now()))
+				time.Sleep(readUntil.Sub(timer.Now()))
+				mu.Lock()
 				waits = append(waits, timer.Since(now))
+				mu.Unlock()
 				if policy != "full" {
 					lease.Began()
 				}
 				time.Sleep(time.Duration(slow * float64(output) * float64(stepTime)))
+				mu.Lock()
 				g.running--
+				mu.Unlock()
 				if policy != "full" {
 					lease.Release(ResultSucceeded)
 				}
