--- a/internal/jvtarget/acquire.go
+++ b/internal/jvtarget/acquire.go
@@ -25,6 +25,10 @@
 	Parts []Part
 	// Priority orders waiting requests; larger values go first.
 	Priority int
+	// Workspace is the workspace that the request belongs to, or empty. Waiting requests of workspaces take turns.
+	Workspace string
+	// Retried is true if an earlier attempt may have run the request.
+	Retried bool
 	// Avoid names targets on which earlier attempts failed.
 	Avoid []string
 	// PreferAnswered selects one of the targets that have answered lately, if any of them has a free slot.
@@ -33,6 +37,13 @@
 	// Bound restricts the request to targets of a version of the software. If Version is empty, none will do.
 	Bound   bool
 	Version string
+	// PromptTokens and OutputTokens are the maximum usage of the request, or 0 if it is unknown. SharedTokens is the part
+	// of the prompt up to the end of the prefix.
+	PromptTokens int64
+	OutputTokens int64
+	SharedTokens int64
+	// CapacityTokens is the number of tokens that a target of the pool holds in memory, or 0 if it is unknown.
+	CapacityTokens int64
 }
 
 // WithAvoided returns a request that avoids further targets.
@@ -89,6 +100,9 @@
 	if p == nil {
 		return nil, Lease{}, newRefusal(KindNoTarget, minRetryAfter, "there is no pool %s", q.Pool)
 	}
+	if tokens := q.PromptTokens + q.OutputTokens; p.byExpectedTime(t.timer.Now()) && !fits(q.CapacityTokens, 0, tokens) {
+		return nil, Lease{}, newRefusal(KindNoTarget, maxRetryAfter, "%d tokens exceed the memory of %d tokens of each target of pool %s", tokens, q.CapacityTokens, q.Pool)
+	}
 	if !p.waiting.blocks(q) {
 		lease, kind := p.acquire(t, q)
 		if kind == "" {
@@ -99,9 +113,12 @@
 		}
 	}
 	ahead := p.waiting.ahead(q)
+	if q.Workspace != "" || p.waiting.hasWorkspaces() {
+		ahead = p.waiting.aheadInTurns(q)
+	}
 	wait := p.predictWait(t, ahead, q)
 	if left := q.Deadline.Sub(t.timer.Now()); wait > left || p.minTime(q.Class) > left {
-		return nil, Lease{}, newRefusal(KindOverloaded, wait-left, "%d requests wait ahead, which takes %s of the %s left", ahead, wait, left)
+		return nil, Lease{}, newRefusal(KindOverloaded, t.spreadRetry(q, wait-left), "%d requests wait ahead, which takes %s of the %s left", ahead, wait, left)
 	}
 	w := &waiter{request: q, done: make(chan acquired, 1)}
 	p.waiting.push(w)
@@ -187,7 +204,7 @@
 	done    chan acquired
 }
 
-// waitQueue holds waiters in order of priority and then of arrival.
+// waitQueue holds waiters in order of priority and then of arrival. If one belongs to a workspace, turns decides who is next.
 type waitQueue []*waiter
 
 func (l *waitQueue) push(w *waiter) {
@@ -216,8 +233,12 @@
 	})
 }
 
-// wake assigns free slots to waiters in order; t.mu must be held.
+// wake assigns free slots to waiters in order, or in turns of workspaces; t.mu must be held.
 func (p *pool) wake(t *Table) {
+	if p.waiting.hasWorkspaces() {
+		p.wakeInTurns(t)
+		return
+	}
 	full := map[string]bool{} // Versions without a free slot.
 	now := t.timer.Now()
 	for n := 0; n < len(p.waiting); {
