--- a/internal/jvmeter/relay.go
+++ b/internal/jvmeter/relay.go
@@ -67,6 +67,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("jv_relay_ends_total{framing=%q,end=%q,protocol=%q}", framing, end, protocol)).Inc()
 }
 
+// CountHedge counts what became of an extra attempt by pool and event: "sent", "won", "canceled", or why none was sent.
+func (m *Relay) CountHedge(pool, event string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("jv_relay_hedges_total{pool=%q,event=%q}", pool, event)).Inc()
+}
+
 // CountTopicFailure counts a failed call of a topic by its reason.
 func (m *Relay) CountTopicFailure(topic, reason string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("jv_topic_failures_total{topic=%q,reason=%q}", topic, reason)).Inc()
--- a/internal/jvrelay/active.go
+++ b/internal/jvrelay/active.go
@@ -7,6 +7,7 @@
 
 	"github.com/jasminevale/jasminevale/internal/jvconfig"
 	"github.com/jasminevale/jasminevale/internal/jvend"
+	"github.com/jasminevale/jasminevale/internal/jvescrow"
 	"github.com/jasminevale/jasminevale/internal/jvquarantine"
 	"github.com/jasminevale/jasminevale/internal/jvroute"
 	"github.com/jasminevale/jasminevale/internal/jvversion"
@@ -93,6 +94,14 @@
 	returnPaid bool
 	// retryPaid is true if the next attempt has already been taken out of the retry budget.
 	retryPaid bool
+	// reservedTokens is the size of the request's reservation, or 0 if it has none. extraReservation is that of its extra
+	// attempt, or nil.
+	reservedTokens   int64
+	extraReservation *jvescrow.Reservation
+	// ranBeside is true if a target may have run the request beside the attempt that became the request's.
+	ranBeside bool
+	// hedge is what became of the extra attempt, or why there was none, or empty if none was considered.
+	hedge string
 	// cause is the text of the latest error.
 	cause string
 	// open is what the log shows of the request while it is in progress.
@@ -168,3 +177,13 @@
 	}
 	return u.PromptTokens + min(u.OutputTokens, events*a.maxEventTokens)
 }
+
+// extraUsed returns the tokens to settle for the extra attempt if it ran besides the other one: the prompt and what may be
+// in buffers, since nothing of one of the two responses was forwarded.
+func (a *activeRequest) extraUsed() int64 {
+	if !a.ranBeside || a.possibleRuns < hedgedRuns { // The first reservation covers one run.
+		return 0
+	}
+	u := a.request.Usage
+	return u.PromptTokens + min(u.OutputTokens, unseenEvents*a.maxEventTokens)
+}
--- a/internal/jvrelay/attempt.go
+++ b/internal/jvrelay/attempt.go
@@ -63,6 +63,15 @@
 // send sends an attempt to its target and records what the response says about the target. The body of the
 // response must be closed.
 func (r *Relay) send(ctx context.Context, a *activeRequest, d Dispatch) (*Response, error) {
+	response, err := r.exchange(ctx, a, d)
+	if err != nil {
+		return nil, err
+	}
+	return r.withCheckedEnd(ctx, a, d.Target, response), nil
+}
+
+// exchange is send without the check of the response's end.
+func (r *Relay) exchange(ctx context.Context, a *activeRequest, d Dispatch) (*Response, error) {
 	r.options.Reach.Begin()
 	response, err := r.options.Sender.Send(ctx, d)
 	if err != nil {
@@ -85,7 +94,7 @@
 	if response.WrongInstance {
 		r.registry.markDisplaced(d.Target.Name)
 	}
-	return r.withCheckedEnd(ctx, a, d.Target, response), nil
+	return response, nil
 }
 
 // contactBody is the body of a target's response, each part of which shows that this router reaches targets.
--- a/internal/jvrelay/options.go
+++ b/internal/jvrelay/options.go
@@ -8,6 +8,7 @@
 
 	"github.com/jasminevale/jasminevale/internal/jvchance"
 	"github.com/jasminevale/jasminevale/internal/jvescrow"
+	"github.com/jasminevale/jasminevale/internal/jvhedge"
 	"github.com/jasminevale/jasminevale/internal/jvmemory"
 	"github.com/jasminevale/jasminevale/internal/jvmeter"
 	"github.com/jasminevale/jasminevale/internal/jvpressure"
@@ -107,6 +108,8 @@
 	// MaxSavedRetries the maximum that the budget holds.
 	RetryShare      float64
 	MaxSavedRetries float64
+	// Hedge configures extra attempts; its zero value allows none.
+	Hedge jvhedge.Options
 	// RetrySlack is the number of retries beyond the share that all routers together may make in a pool;
 	// 0 means that each router may save MaxSavedRetries.
 	RetrySlack float64
--- a/internal/jvrelay/relay.go
+++ b/internal/jvrelay/relay.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/jasminevale/jasminevale/internal/jvhedge"
 	"github.com/jasminevale/jasminevale/internal/jvmeter"
 	"github.com/jasminevale/jasminevale/internal/jvpressure"
 	"github.com/jasminevale/jasminevale/internal/jvreach"
@@ -28,6 +29,8 @@
 	retries   *retryBudgets
 	open      *openRequests
 	durations *durations
+	// hedger decides on extra attempts, or is nil if there are none.
+	hedger *jvhedge.Hedger
 }
 
 // expireInterval is the interval at which entries are checked for expiry and the retry budgets adapted.
@@ -41,6 +44,9 @@
 		o.Gate = jvpressure.NewGate(unlimited)
 	}
 	r := &Relay{options: o, retries: newRetryBudgets(o), open: newOpenRequests(), durations: newDurations()}
+	if o.Hedge.Share > 0 {
+		r.hedger = jvhedge.New(o.Hedge)
+	}
 	r.targets = jvtarget.NewTableWith(o.Zone, o.Timer, o.Random.Float, o.Weights, o.Limits).
 		WithLateDrain(o.LateDrain).WithUnreachable(o.Reach.Unreachable).WithSharers(o.Reach.Sharers)
 	r.crashes = newCrashDetector(o)
--- a/internal/jvrelay/report.go
+++ b/internal/jvrelay/report.go
@@ -64,6 +64,9 @@
 	if a.request.Resumes != "" || a.request.LastEventID != "" {
 		values = append(values, "resumes", a.request.Resumes, "after", a.request.LastEventID)
 	}
+	if a.hedge != "" {
+		values = append(values, "hedge", a.hedge)
+	}
 	if a.cause != "" {
 		values = append(values, "cause", a.cause)
 	}
--- a/internal/jvrelay/serve.go
+++ b/internal/jvrelay/serve.go
@@ -157,13 +157,22 @@
 		}
 		return notRun("budget", err.Error(), budgetRetryAfter)
 	}
-	defer func() { r.options.Budgets.Settle(reservation, a.used()) }()
+	defer func() {
+		r.options.Budgets.Settle(reservation, a.used())
+		if a.extraReservation != nil {
+			r.options.Budgets.Settle(*a.extraReservation, a.extraUsed())
+		}
+	}()
+	a.reservedTokens = total
 	return r.runAttempts(ctx, a)
 }
 
 // runAttempts sends the request to targets until one responds or no further attempt is allowed.
 func (r *Relay) runAttempts(ctx context.Context, a *activeRequest) *Problem {
 	r.retries.budget(a.pool).Earn()
+	if r.hedger != nil {
+		r.hedger.Earn(a.pool)
+	}
 	defer r.refundReturn(a)
 	for {
 		t, err := r.nextTry(ctx, a)
@@ -187,7 +196,11 @@
 			err = r.forwardAttempt(ctx, a, t.peer)
 		} else {
 			a.setTarget(t.lease.Target, r.registry.startedAt(t.lease.Target.Name))
-			err = r.attempt(ctx, a, t.lease)
+			if r.mayHedge(a) {
+				t.lease, err = r.hedgedAttempt(ctx, a, t.lease)
+			} else {
+				err = r.attempt(ctx, a, t.lease)
+			}
 		}
 		if err == nil {
 			return nil
--- a/internal/jvretry/budget.go
+++ b/internal/jvretry/budget.go
@@ -77,3 +77,15 @@
 	defer b.mu.Unlock()
 	return b.saved
 }
+
+// SpendSpare takes a retry that is not needed soon, or returns false. One retry is left for a failure, unless the budget never
+// has two: then it must be full.
+func (b *Budget) SpendSpare() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.saved < max(1, min(2, b.maxSaved)) {
+		return false
+	}
+	b.saved--
+	return true
+}
--- a/internal/jvsetting/relay.go
+++ b/internal/jvsetting/relay.go
@@ -13,6 +13,7 @@
 	Operations Operations `json:"operations"`
 	Budget     Budget     `json:"budget"`
 	Retry      Retry      `json:"retry"`
+	Hedge      Hedge      `json:"hedge"`
 	Log        Log        `json:"log"`
 }
 
@@ -43,6 +44,14 @@
 	MaxSaved int64 `json:"saved"`
 }
 
+// Hedge configures extra attempts for requests whose target has not answered yet.
+type Hedge struct {
+	// Percent is the number of extra attempts for each hundred requests of a pool; 0 is none.
+	Percent int64 `json:"percent"`
+	// DelayMillis is how many milliseconds the first attempt may take at least.
+	DelayMillis int64 `json:"delay"`
+}
+
 // Bounds of settings. A horizon of a few minutes already covers a whole budget.
 const (
 	minPort           = 1024
@@ -51,6 +60,8 @@
 	maxPercent        = 100
 	maxHolders        = 1000
 	maxSavedRetries   = 10_000
+	maxHedgePercent   = 10
+	maxHedgeDelay     = 10_000
 	maxLogLevel       = 1
 )
 
@@ -78,6 +89,10 @@
 	p.CheckRange("budget.holders", r.Budget.Holders, 0, maxHolders)
 	p.CheckRange("retry.share", r.Retry.SharePercent, 0, maxPercent)
 	p.CheckRange("retry.saved", r.Retry.MaxSaved, 0, maxSavedRetries)
+	p.CheckRange("hedge.percent", r.Hedge.Percent, 0, maxHedgePercent)
+	if r.Hedge.Percent != 0 || r.Hedge.DelayMillis != 0 { // Without extra attempts no delay is needed.
+		p.CheckRange("hedge.delay", r.Hedge.DelayMillis, 1, maxHedgeDelay)
+	}
 	p.CheckRange("log.level", r.Log.Level, 0, maxLogLevel)
 	if err := p.Err(op); err != nil {
 		return r, jvfault.New(op, KindInvalid, err)
--- a/internal/jvsetting/relay_test.go
+++ b/internal/jvsetting/relay_test.go
@@ -20,6 +20,10 @@
 	r, err := ParseRelay([]byte(validRelay))
 	require.NoError(t, err)
 	require.Equal(t, int64(10), r.Budget.HorizonSeconds)
+	require.Zero(t, r.Hedge)
+	r, err = ParseRelay([]byte(strings.Replace(validRelay, `"log"`, `"hedge": {"percent": 10, "delay": 250}, "log"`, 1)))
+	require.NoError(t, err)
+	require.Equal(t, Hedge{Percent: 10, DelayMillis: 250}, r.Hedge)
 }
 
 // TestDeployedSettings guards against a deployment whose settings file the router rejects.
@@ -39,6 +43,8 @@
 		{"unknown field", strings.Replace(validRelay, `"horizon"`, `"horizont"`, 1)},
 		{"wrong type", strings.Replace(validRelay, `"port": 9464`, `"port": "9464"`, 1)},
 		{"everything missing", "{}"},
+		{"hedge without a delay", strings.Replace(validRelay, `"log"`, `"hedge": {"percent": 11}, "log"`, 1)},
+		{"hedge delay too long", strings.Replace(validRelay, `"log"`, `"hedge": {"delay": 10001}, "log"`, 1)},
 		{"several at once", strings.NewReplacer("9464", "80", `"ahead": 90`, `"ahead": 0`, `"level": 0`, `"level": 9`).Replace(validRelay)},
 	} {
 		_, err := ParseRelay([]byte(c.text))
