--- a/internal/jvrelay/hedge_test.go
+++ b/internal/jvrelay/hedge_test.go
@@ -78,7 +78,9 @@
 type hedgeFixture struct {
 	*fixture
 
-	race  *raceSender
+	race *raceSender
+
+	mu    sync.Mutex
 	lines []string
 }
 
@@ -87,7 +89,13 @@
 	h.fixture = newFixtureWith(t, func(o *Options) {
 		o.Sender = h.race
 		o.Hedge = jvhedge.Options{Share: 0.1, MinDelay: 100 * time.Millisecond}
-		o.Logger = funcr.New(func(_, line string) { h.lines = append(h.lines, line) }, funcr.Options{})
+		o.Logger = funcr.New(func(_, line string) {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			if strings.Contains(line, `"msg"="request"`) {
+				h.lines = append(h.lines, line)
+			}
+		}, funcr.Options{})
 	})
 	answers := func(n int) {
 		for _, route := range []string{"safe", "stream", "once"} {
@@ -110,8 +118,10 @@
 // logged returns the values of a field in the request's line.
 func (h *hedgeFixture) logged(t *testing.T, field string) string {
 	t.Helper()
-	line := h.lines[len(h.lines)-1]
-	require.Contains(t, line, `"msg"="request"`)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	require.Len(t, h.lines, 1)
+	line := h.lines[0]
 	_, rest, ok := strings.Cut(line, `"`+field+`"=`)
 	if !ok {
 		return ""
