--- a/internal/jvrelay/hedge.go
+++ b/internal/jvrelay/hedge.go
@@ -230,11 +230,15 @@
 		c.refuse(hedgeTokens)
 		return
 	}
-	if c.relay.Stopping() || !c.sendExtra() {
-		c.relay.options.Budgets.Settle(g.reservation, 0)
+	switch {
+	case c.relay.Stopping():
+		c.refund()
+		c.refuse(string(jvhedge.ReasonStopping))
+	case c.sendExtra():
+		c.request.extraReservation = &g.reservation
 		return
 	}
-	c.request.extraReservation = &g.reservation
+	c.relay.options.Budgets.Settle(g.reservation, 0)
 }
 
 // endReserve ends the wait for a reservation that is not needed any more.
@@ -344,6 +348,10 @@
 	}
 	err := r.classify(c.ctx, jvfault.New("attempt", KindBroken, c.ctx.Err()))
 	c.end(x, err)
+	if errors.Is(err, errStalled) { // Both targets were silent.
+		c.request.avoid = append(c.request.avoid, x.lease.Target.Name)
+		c.request.silent = append(c.request.silent, x.lease.Target.Name)
+	}
 	r.recordTargetFailure(c.ctx, x.state, x.lease.Target, jvfault.KindOf[Kind](err), err)
 }
 
--- a/internal/jvrelay/hedge_test.go
+++ b/internal/jvrelay/hedge_test.go
@@ -18,6 +18,7 @@
 	"github.com/jasminevale/jasminevale/internal/jvfault"
 	"github.com/jasminevale/jasminevale/internal/jvhedge"
 	"github.com/jasminevale/jasminevale/internal/jvquarantine"
+	"github.com/jasminevale/jasminevale/internal/jvroute"
 )
 
 // raceSender runs the next script for each attempt. Attempts may be sent side by side.
@@ -237,3 +238,26 @@
 		})
 	}
 }
+
+// TestHedgeMove guards against a request that waits to its deadline for two silent targets although a third one answers and
+// its route allows one more attempt.
+func TestHedgeMove(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hour, quick := script{delay: time.Hour}, script{status: 200, body: "c", delay: 10 * time.Millisecond}
+		s := newHedgeFixture(t, hour, hour, quick, quick, quick, quick, quick)
+		s.relay.Configure(table(2).WithRoutes([]jvroute.Route{{
+			Name: "safe", Host: "h", Prefix: "/safe/", Kind: jvroute.KindSafe, Timeout: 2 * time.Second, TargetLatency: 300 * time.Millisecond,
+			MaxAttempts: 3, Pools: []jvroute.WeightedPool{{Pool: "p", Weight: 1}},
+		}}))
+		for i := range 4 { // Some of them are for the third target.
+			time.AfterFunc(time.Second, func() { serveOne(t.Context(), s.fixture, "safe", fmt.Sprint("other", i)) })
+		}
+		start := time.Now()
+		require.Equal(t, "200 length 1: c", serveOne(t.Context(), s.fixture, "safe", "r"))
+		require.Equal(t, 1310*time.Millisecond, time.Since(start), "four times the target latency after the extra attempt")
+		synctest.Wait()
+		require.Zero(t, s.race.open)
+		require.Len(t, s.race.targets, 7)
+		require.NotContains(t, s.race.targets[:2], s.race.targets[6])
+	})
+}
