--- a/internal/jvrelay/hedge_test.go
+++ b/internal/jvrelay/hedge_test.go
@@ -116,6 +116,16 @@
 	return h
 }
 
+// configure returns a function that changes the kind and the number of attempts of the route "safe".
+func configure(kind jvroute.Kind, attempts int) func(h *hedgeFixture) {
+	return func(h *hedgeFixture) {
+		h.relay.Configure(table(2).WithRoutes([]jvroute.Route{{
+			Name: "safe", Host: "h", Prefix: "/safe/", Kind: kind, Timeout: 2 * time.Second, TargetLatency: 300 * time.Millisecond,
+			MaxAttempts: attempts, Pools: []jvroute.WeightedPool{{Pool: "p", Weight: 1}},
+		}}))
+	}
+}
+
 // logged returns the values of a field in the request's line.
 func (h *hedgeFixture) logged(t *testing.T, field string) string {
 	t.Helper()
@@ -163,6 +173,9 @@
 		{name: "both to the deadline", route: "safe", scripts: []script{hour, hour}, want: "refused 504 deadline, retry after 0s", took: 2 * time.Second, hedge: "sent", sent: 2, runs: "2"},
 		{name: "not repeatable", route: "once", scripts: []script{answer("a", 500*ms)}, want: "200 length 1: a", took: 500 * ms, sent: 1, runs: "1"},
 		{name: "not resumable", route: "fixed", scripts: []script{answer("id: 1\ndata: a\n\n", 500*ms)}, want: "200 length -1: id: 1|data: a||", took: 500 * ms, sent: 1, runs: "1"},
+		{name: "not repeatable, several attempts", route: "safe", change: configure(jvroute.KindUnsafe, 3), scripts: []script{answer("a", 500*ms)}, want: "200 length 1: a", took: 500 * ms, sent: 1, runs: "1"},
+		{name: "not resumable, several attempts", route: "safe", change: configure(jvroute.KindStream, 3), scripts: []script{answer("id: 1\ndata: a\n\n", 500*ms)}, want: "200 length -1: id: 1|data: a||", took: 500 * ms, sent: 1, runs: "1"},
+		{name: "one attempt", route: "safe", change: configure(jvroute.KindSafe, 1), scripts: []script{answer("a", 500*ms)}, want: "200 length 1: a", took: 500 * ms, sent: 1, runs: "1"},
 		{name: "prepaid stream", route: "stream", scripts: []script{hour, answer("id: 1\ndata: a\n\n", 20*ms)}, want: "200 length -1: id: 1|data: a||", took: 120 * ms, hedge: "won", sent: 2, runs: "2"},
 		{name: "no second reservation", route: "stream", scripts: []script{answer("id: 1\ndata: a\n\n", 300*ms)}, change: func(s *hedgeFixture) { s.budgets.left = 2000 }, want: "200 length -1: id: 1|data: a||", took: 300 * ms, hedge: "tokens", sent: 1, runs: "1"},
 		{name: "stop", route: "safe", scripts: []script{answer("a", 300*ms)}, change: func(s *hedgeFixture) { s.relay.Stop(time.Now(), PlanStop(time.Minute)) }, want: "200 length 1: a", took: 300 * ms, hedge: "stopping", sent: 1, runs: "1"},
@@ -245,10 +258,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		hour, quick := script{delay: time.Hour}, script{status: 200, body: "c", delay: 10 * time.Millisecond}
 		s := newHedgeFixture(t, hour, hour, quick, quick, quick, quick, quick)
-		s.relay.Configure(table(2).WithRoutes([]jvroute.Route{{
-			Name: "safe", Host: "h", Prefix: "/safe/", Kind: jvroute.KindSafe, Timeout: 2 * time.Second, TargetLatency: 300 * time.Millisecond,
-			MaxAttempts: 3, Pools: []jvroute.WeightedPool{{Pool: "p", Weight: 1}},
-		}}))
+		configure(jvroute.KindSafe, 3)(s)
 		for i := range 4 { // Some of them are for the third target.
 			time.AfterFunc(time.Second, func() { serveOne(t.Context(), s.fixture, "safe", fmt.Sprint("other", i)) })
 		}
@@ -261,3 +271,34 @@
 		require.NotContains(t, s.race.targets[:2], s.race.targets[6])
 	})
 }
+
+// TestHedgeCancels guards against an attempt that runs on while the stream of the other one is forwarded.
+func TestHedgeCancels(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newHedgeFixture(t, script{delay: time.Hour}, script{status: 200, body: "id: 1\ndata: a\n\n", hang: true})
+		open := 0
+		time.AfterFunc(101*time.Millisecond, func() {
+			s.race.mu.Lock()
+			defer s.race.mu.Unlock()
+			open = s.race.open
+		})
+		require.Equal(t, "200 length -1: id: 1|data: a||... cut", s.serve(t.Context(), t, "stream", nil))
+		require.Equal(t, 1, open, "only the attempt whose response is forwarded")
+		require.Equal(t, "won", s.logged(t, "hedge"))
+	})
+}
+
+// TestHedgeRefund guards against limits that are used up by extra attempts that were not sent.
+func TestHedgeRefund(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newHedgeFixture(t, script{status: 200, body: "id: 1\ndata: a\n\n", delay: 300 * time.Millisecond}, script{delay: time.Hour}, script{status: 200, body: "b"})
+		s.budgets.left = 2000
+		s.serve(t.Context(), t, "stream", nil)
+		require.Equal(t, "tokens", s.logged(t, "hedge"))
+		require.InDelta(t, 5, s.relay.retries.saved()["p"], 1e-9)
+		s.lines = nil
+		require.Equal(t, "200 length 1: b", s.serve(t.Context(), t, "safe", nil))
+		require.Equal(t, "won", s.logged(t, "hedge"))
+		require.InDelta(t, 4, s.relay.retries.saved()["p"], 1e-9)
+	})
+}
