platform: what requests hold is counted in bytes before bodies are read

A request was admitted by a count of 64 KiB for each, and bodies of 4 MB took a router of 112 MB to 408 MB. jvmemory.Account now reserves each step of a body before it is read. Without memory a request is refused with 503 (not run), a sender without progress gets 408; both close the connection. Addresses and workspaces have shares while memory is short, small bodies a part that large ones can't take. Without limits.memoryMb nothing changes.

--- a/internal/jvforward/server.go
+++ b/internal/jvforward/server.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"crypto/sha256"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -14,6 +15,7 @@
 
 	"github.com/jasminevale/jasminevale/internal/jvcodec"
 	"github.com/jasminevale/jasminevale/internal/jvfault"
+	"github.com/jasminevale/jasminevale/internal/jvmemory"
 	"github.com/jasminevale/jasminevale/internal/jvrelay"
 )
 
@@ -34,6 +36,7 @@
 	name         string
 	signer       Signer
 	maxBodyBytes func() int64
+	account      *jvmemory.Account
 	serve        func(ctx context.Context, d jvrelay.Dispatch, from string) (*jvrelay.Response, error)
 	now          func() time.Time
 	logger       logr.Logger
@@ -48,6 +51,8 @@
 	Signer Signer
 	// MaxBodyBytes returns the limit of callers' bodies.
 	MaxBodyBytes func() int64
+	// Account limits the memory of bodies, or is nil.
+	Account *jvmemory.Account
 	// Serve makes an attempt for another router.
 	Serve func(ctx context.Context, d jvrelay.Dispatch, from string) (*jvrelay.Response, error)
 	// Now returns the current time.
@@ -61,7 +66,7 @@
 	if err != nil {
 		panic(err) // maxNonces is positive.
 	}
-	return &Server{name: o.Name, signer: o.Signer, maxBodyBytes: o.MaxBodyBytes, serve: o.Serve, now: o.Now, logger: o.Logger, nonces: nonces}
+	return &Server{name: o.Name, signer: o.Signer, maxBodyBytes: o.MaxBodyBytes, account: o.Account, serve: o.Serve, now: o.Now, logger: o.Logger, nonces: nonces}
 }
 
 // ServeHTTP implements http.Handler. What is not a message of this fleet gets no response.
@@ -70,9 +75,18 @@
 	_ = control.SetReadDeadline(s.now().Add(headTimeout)) // If deadlines aren't supported, a stranger keeps its connection longer.
 	head, err := s.receiveHead(r)
 	var body []byte
+	var lease *jvmemory.Lease
 	if err == nil {
 		_ = control.SetReadDeadline(s.now().Add(max(head.Timeout, headTimeout)))
-		body, err = s.receiveBody(r, head)
+		body, lease, err = s.receiveBody(r, head, control)
+		defer lease.Close()
+	}
+	if errors.Is(err, jvmemory.ErrFull) || errors.Is(err, jvmemory.ErrStalled) {
+		s.logger.Info("attempt of another router refused", "from", head.From, "cause", err.Error())
+		_ = control.SetReadDeadline(s.now())
+		w.Header().Set("Connection", "close")
+		_, _ = w.Write(encodeHead(responseHead{For: head.Nonce, Kind: string(jvrelay.KindUnsent), Cause: err.Error()})) // A write error means that the other router has left.
+		return
 	}
 	if err != nil {
 		s.logger.Info("message of another router dropped", "from", r.RemoteAddr, "cause", err.Error())
@@ -121,9 +135,27 @@
 	return head, nil
 }
 
-// receiveBody reads the body of an attempt and checks that it is the head's.
-func (s *Server) receiveBody(r *http.Request, head attemptHead) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, s.maxBodyBytes()+1))
+// receiveBody reads the body of an attempt and checks that it is the head's. The lease holds its memory.
+func (s *Server) receiveBody(r *http.Request, head attemptHead, control *http.ResponseController) ([]byte, *jvmemory.Lease, error) {
+	lease, err := s.account.Open(jvmemory.Holder{Address: head.From, Workspace: head.Workspace}, func() {
+		_ = control.SetReadDeadline(s.now()) // The attempt's time is the limit if deadlines aren't supported.
+	})
+	if err != nil {
+		return nil, nil, err
+	}
+	body, err := s.readBody(r, head, lease)
+	if err != nil {
+		lease.Close()
+		return nil, nil, err
+	}
+	return body, lease, nil
+}
+
+func (s *Server) readBody(r *http.Request, head attemptHead, lease *jvmemory.Lease) ([]byte, error) {
+	body, err := lease.ReadAll(io.LimitReader(r.Body, s.maxBodyBytes()+1), -1)
+	if errors.Is(err, jvmemory.ErrFull) || errors.Is(err, jvmemory.ErrStalled) {
+		return nil, err
+	}
 	if err != nil {
 		return nil, jvfault.New(opReceive, KindMalformed, err)
 	}
--- a/internal/jvpressure/error.go
+++ b/internal/jvpressure/error.go
@@ -28,6 +28,10 @@
 	KindRequests Kind = "requests"
 	// KindMemory means that the process has too little memory left.
 	KindMemory Kind = "memory"
+	// KindBodies means that too little memory is left for what the request holds, or that its client or workspace has its
+	// share. KindStalled means that the sender of a body made no progress.
+	KindBodies  Kind = "bodies"
+	KindStalled Kind = "stalled"
 	// KindProcessor means that the process handles events late, and that the request's workspace has its share.
 	KindProcessor Kind = "processor"
 	// KindLate means that the request has probably waited longer than its caller does.
--- a/internal/jvpressure/gate.go
+++ b/internal/jvpressure/gate.go
@@ -256,6 +256,9 @@
 // RefuseLeft returns the refusal of a request whose caller has left before it was read.
 func (g *Gate) RefuseLeft() *Refusal { return g.refuse(KindLate, 0) }
 
+// RefuseBody returns the refusal of a request that was admitted, whose body is not read to its end.
+func (g *Gate) RefuseBody(k Kind) *Refusal { return g.refuse(k, g.pressure()) }
+
 // refuse counts a refusal and returns it. Callers are spread over a time, the longer the more are refused.
 func (g *Gate) refuse(k Kind, excess float64) *Refusal {
 	mean := float64(minRetryAfter) + excess*float64(maxRetryAfter-minRetryAfter)
--- a/internal/jvpressure/limits.go
+++ b/internal/jvpressure/limits.go
@@ -22,6 +22,8 @@
 	// number of connections to targets that wait for a request.
 	Requests    int64
 	IdleTargets int64
+	// HeldBytes is the memory that requests in progress may hold, with their bodies.
+	HeldBytes int64
 	// MemoryBytes is the memory from which on neither connections nor requests are admitted.
 	MemoryBytes int64
 }
@@ -38,14 +40,15 @@
 	routerShare  = 0.125
 	idleShare    = 0.0625
 	// A connection takes connectionBytes: its goroutine with the stack, and the buffers of net/http. One with a request in
-	// progress takes requestBytes: also the body, and the connection to its target with two goroutines and buffers.
+	// progress takes requestBytes: also a small body, and the connection to its target with two goroutines and buffers. The
+	// number of requests that follows from that is the last bound: what they hold is counted by jvmemory.Account.
 	connectionBytes = 24 << 10
 	requestBytes    = 64 << 10
 	// connectionMemory and requestMemory are the shares of the memory for these.
 	connectionMemory = 0.3
 	requestMemory    = 0.5
-	// processorRequests is the number of requests in progress for each processor: each takes about 1 ms of it, so that those
-	// in progress are a second's work at most.
+	// processorRequests is the number of requests in progress for each processor of a machine whose memory isn't known: each
+	// takes about 1 ms of it, so that those in progress are a second's work at most.
 	processorRequests = 1000
 	// memoryShare is the share of the memory from which on nothing more is admitted. The rest is for what requests in
 	// progress may still need, and for the buffers of the system's sockets, which the process does not see.
@@ -68,11 +71,12 @@
 		l.Callers = max(1, int64(left)-l.Requests-l.Routers-l.IdleTargets)
 	}
 	if m.MemoryBytes > 0 {
+		l.HeldBytes = share(requestMemory, m.MemoryBytes)
 		l.Requests = smaller(l.Requests, share(requestMemory, m.MemoryBytes)/requestBytes)
 		l.Callers = smaller(l.Callers, share(connectionMemory, m.MemoryBytes)/connectionBytes)
 		l.MemoryBytes = max(minMemoryBytes, share(memoryShare, m.MemoryBytes))
 	}
-	if m.Processors > 0 {
+	if m.Processors > 0 && m.MemoryBytes == 0 {
 		l.Requests = smaller(l.Requests, int64(processorRequests*m.Processors))
 	}
 	return l, nil
--- a/internal/jvrelay/dump.go
+++ b/internal/jvrelay/dump.go
@@ -33,7 +33,9 @@
 	Reach any `json:"reach"`
 	// Quarantine are the requests that were running when targets ended.
 	Quarantine any `json:"quarantine"`
-	Settings   any `json:"settings"`
+	// Memory is what requests hold, and who holds most.
+	Memory   any `json:"memory"`
+	Settings any `json:"settings"`
 }
 
 // Dump returns the relay's state.
--- a/internal/jvrelay/relay.go
+++ b/internal/jvrelay/relay.go
@@ -201,6 +201,7 @@
 	jvpressure.KindLate:      "the request has waited longer than its caller does",
 	jvpressure.KindProcessor: "this router has more requests than it can serve",
 	jvpressure.KindMemory:    "this router has too little memory left",
+	jvpressure.KindBodies:    "this router has too little memory left for the request's body",
 	jvpressure.KindRequests:  "this router has as many requests in progress as its machine bears",
 }
 
