--- a/internal/jvpressure/gate.go
+++ b/internal/jvpressure/gate.go
@@ -263,6 +263,9 @@
 	return refusal
 }
 
+// RefuseBody returns the refusal of a request that was admitted, whose body is not read to its end.
+func (g *Gate) RefuseBody(k Kind) *Refusal { return g.refuse(k, g.pressure()) }
+
 // refuse counts a refusal and returns it. Callers are spread over a time, the longer the more are refused.
 func (g *Gate) refuse(k Kind, excess float64) *Refusal {
 	mean := float64(minRetryAfter) + excess*float64(maxRetryAfter-minRetryAfter)
--- a/internal/jvrelay/dump.go
+++ b/internal/jvrelay/dump.go
@@ -34,7 +34,9 @@
 	// Quarantine are the requests that were running when targets ended.
 	Quarantine any `json:"quarantine"`
 	// Link is the use of the machine's network link.
-	Link     any `json:"link"`
+	Link any `json:"link"`
+	// Memory is what requests hold, and who holds most.
+	Memory   any `json:"memory"`
 	Settings any `json:"settings"`
 }
 
--- a/internal/jvrelay/hedge.go
+++ b/internal/jvrelay/hedge.go
@@ -120,7 +120,7 @@
 	now := r.options.Timer.Now()
 	s := &activeRequest{
 		request: a.request, route: a.route, workspace: a.workspace, priority: a.priority, pool: a.pool, features: a.features,
-		deadline: a.deadline, lastEventID: a.lastEventID, attemptStartedAt: now,
+		deadline: a.deadline, lastEventID: a.lastEventID, attemptStartedAt: now, recordBegan: lease.Began,
 	}
 	s.setTarget(lease.Target, r.registry.startedAt(lease.Target.Name))
 	ctx, cancel := context.WithCancel(c.ctx)
--- a/internal/jvrelay/relay.go
+++ b/internal/jvrelay/relay.go
@@ -223,6 +223,7 @@
 	jvpressure.KindProcessor: "this router has more requests than it can serve",
 	jvpressure.KindMemory:    "this router has too little memory left",
 	jvpressure.KindLink:      "this router's network link can't carry the request in time",
+	jvpressure.KindBodies:    "this router has too little memory left for the request's body",
 	jvpressure.KindRequests:  "this router has as many requests in progress as its machine bears",
 }
 
