jvlink: a router waits 20 s for a heavy workspace to stay small; jvtarget: parts that are read again count twice

Selection by expected time left the preferred target for 31% of the requests, whose parts other targets read again.

--- a/internal/jvlink/policy.go
+++ b/internal/jvlink/policy.go
@@ -18,9 +18,10 @@
 	minHeavyRate    = 100e3
 	heavyShare      = 0.1
 	assumedSmallest = 10e6 / 8
-	// calmTime is how long the use that is to be expected must have been low before the router becomes ready, calmJitter the
-	// largest random time beyond it: routers that wait for the same workspace must not return at once.
-	calmTime   = 3 * time.Second
+	// calmTime is how long the use that is to be expected must have been low before the router becomes ready: a workspace's
+	// demand rises and falls within some ten seconds, and each return costs its callers about 3 s. calmJitter is the largest
+	// random time beyond it: routers that wait for the same workspace must not return at once.
+	calmTime   = 20 * time.Second
 	calmJitter = 2 * time.Second
 	// firstRequests and firstShare say when a workspace counts as sent here by the load balancer: from so many requests in a
 	// measureInterval on, if they have that share of the bytes that its reported rate brings. Retries of its callers reach
--- a/internal/jvtarget/expected.go
+++ b/internal/jvtarget/expected.go
@@ -236,6 +236,9 @@
 			g := p.targets[list[i].Name]
 			_, expected := costAt(i, preferred)
 			expected = time.Duration(float64(expected) * g.speed.slowness(p.speed))
+			if !preferred {
+				expected += p.cost(q, g.config.Slots).shared // Reading the parts again delays the target's other requests as well.
+			}
 			if !list[i].SameZone && (q.Prefix == "" || !t.weights.PrefixAnyZone) {
 				expected += time.Duration(t.weights.CrossZone * float64(g.config.Slots) * p.meanWorkSeconds * float64(time.Second))
 			}
