--- a/internal/jvlink/policy_test.go
+++ b/internal/jvlink/policy_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,7 +25,7 @@
 		timer := jvtimer.NewService()
 		defer timer.Close()
 		links := map[string]*Link{}
-		sent := 0
+		var sent atomic.Int64 // The links measure in goroutines of their own.
 		all := []string{"r1", "r2", "r3", "other"}
 		for _, router := range all {
 			o := DefaultOptions()
@@ -44,7 +45,7 @@
 				}
 			}
 			links[router].Join(Zone{Self: member(router), Others: func() []jvmember.Member { return others }, Send: func(to jvmember.Member, message []byte) {
-				sent++
+				sent.Add(1)
 				require.NoError(t, links[to.Name].Receive(message, nil))
 			}})
 		}
@@ -56,9 +57,9 @@
 			synctest.Wait()
 		}
 		offer("r1", 5)
-		require.Zero(t, sent, "a few requests are not heavy")
+		require.Zero(t, sent.Load(), "a few requests are not heavy")
 		offer("r1", 500)
-		require.Positive(t, sent)
+		require.Positive(t, sent.Load())
 		require.Len(t, links["r2"].Dump().Reports, 1)
 		require.Empty(t, links["other"].Dump().Reports)
 		require.False(t, links["r1"].Unready(), "a wide link")
@@ -71,9 +72,9 @@
 		require.True(t, links["r2"].Unready(), "the workspace would come back")
 		time.Sleep(reportAge + calmTime + calmJitter)
 		require.False(t, links["r2"].Unready())
-		before := sent
+		before := sent.Load()
 		time.Sleep(time.Minute)
-		require.Equal(t, before, sent, "nothing is sent while no workspace is heavy")
+		require.Equal(t, before, sent.Load(), "nothing is sent while no workspace is heavy")
 	})
 }
 
