--- a/internal/jvgrant/spent_test.go
+++ b/internal/jvgrant/spent_test.go
@@ -7,8 +7,8 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestSpent guards against callers who are told to come back for tokens that no router can ever spend, and against telling
-// them that a budget is used up while requests in progress may give tokens back, or after a large loss.
+// TestSpent guards against refusals that invite callers to return for tokens that no router can ever spend, and against the
+// report that a budget is used up while requests in progress may give tokens back, or after a large loss.
 func TestSpent(t *testing.T) {
 	const prepaid, request = 100_000, 1000
 	for _, c := range []struct {
--- a/internal/jvlink/model_test.go
+++ b/internal/jvlink/model_test.go
@@ -93,7 +93,7 @@
 		o.Capacity = wideLink
 	}
 	o.Random = m.random.Float64
-	if m.baseline { // The policy before workspaces were measured.
+	if m.baseline { // A policy that knows no workspaces.
 		o.SaturatedShare = 0
 	}
 	m.routers[n].policy = newPolicy(o, m.now())
--- a/internal/jvlink/report.go
+++ b/internal/jvlink/report.go
@@ -8,7 +8,7 @@
 	"github.com/jasminevale/jasminevale/internal/jvfault"
 )
 
-// Report is what a router tells the other routers of its zone. The newest one replaces those before it.
+// Report is a router's message to the other routers of its zone. The newest one replaces those before it.
 type Report struct {
 	Router string `cbor:"router"`
 	Zone   string `cbor:"zone"`
--- a/internal/jvrelay/cold.go
+++ b/internal/jvrelay/cold.go
@@ -77,7 +77,7 @@
 	}
 }
 
-// hearCold applies what a response of a target's process says of how long it stays cold.
+// hearCold applies the cold time in a response of a target's process.
 func (g *Registry) hearCold(id string, startedAtMillis int64, d time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/jvtarget/expected.go
+++ b/internal/jvtarget/expected.go
@@ -7,9 +7,9 @@
 
 // Figures of the cost model. Speeds that targets show at first events correct them, so only their proportions matter.
 const (
-	// readRate is the number of prompt tokens that a target reads in a millisecond; 92 to 157 were measured.
+	// readRate is the number of prompt tokens that a target reads in a millisecond. Engines read 92 to 157.
 	readRate = 120
-	// stepTime is the time in which each request that runs gets one more token; 3 to 3.6 ms were measured.
+	// stepTime is the time in which each request that runs gets one more token. Engines take 3 to 3.6 ms and more.
 	stepTime = 3300 * time.Microsecond
 	// minWork is added to each expected time: the round trip and the first step. It bounds what learned speeds multiply.
 	minWork = 5 * time.Millisecond
