--- a/review/stage-2/main.go
+++ b/review/stage-2/main.go
@@ -40,6 +40,7 @@
 var cases = map[string]func(*stage) verdict{
 	"dark":     playDark,
 	"ends":     playEnds,
+	"batch":    playBatch,
 	"moves":    playMoves,
 	"in-place": playInPlace,
 }
--- a/review/stage-2/server.go
+++ b/review/stage-2/server.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"os/signal"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -31,11 +32,18 @@
 	Gap    time.Duration
 	// Unframed is true if streams have no length and no chunks, and end with their connection.
 	Unframed bool
+	// CrashPart is the part of prompts on which the server's process ends as it begins to write an answer, after ReadTime;
+	// empty is none.
+	CrashPart string
+	ReadTime  time.Duration
 }
 
 // sigLeave makes a server leave.
 const sigLeave = syscall.SIGUSR1
 
+// crashStatus is the exit status of a server that crashes on a request.
+const crashStatus = 3
+
 // runServer is the process of a server. It ends with a signal only.
 func runServer(argument string) {
 	var s serverSettings
@@ -79,6 +87,11 @@
 			continue
 		}
 		fmt.Printf("runs %s %s, X-Token-Usage %s, Last-Event-Id %q, leaving=%t\n", id, r.RequestURI, r.Header.Get("X-Token-Usage"), r.Header.Get("Last-Event-Id"), leaving.Load())
+		time.Sleep(s.ReadTime)
+		if parts := strings.Split(r.Header.Get("X-Prefix-Hash"), ","); s.CrashPart != "" && slices.ContainsFunc(parts[:len(parts)-1], func(part string) bool { return strings.HasPrefix(part, s.CrashPart+":") }) {
+			fmt.Printf("crashes on %s\n", id)
+			os.Exit(crashStatus)
+		}
 		if !s.answer(c, r, id, sign) {
 			return
 		}
@@ -126,6 +139,9 @@
 	command *exec.Cmd
 	// runs is the number of requests that the server has run.
 	runs atomic.Int64
+	// ran is called with the ID of each request that it runs, crashed when it has crashed on one; both may be nil.
+	ran     func(id string)
+	crashed func()
 
 	mu       sync.Mutex
 	state    string
@@ -170,10 +186,8 @@
 			if err != nil {
 				return
 			}
-			if strings.HasPrefix(line, "runs ") {
-				m.runs.Add(1)
-			}
 			m.s.add("server %s %s", m.ID, strings.TrimSpace(line))
+			m.heard(line)
 		}
 	}()
 	m.mu.Lock()
@@ -181,6 +195,31 @@
 	m.born, m.sequence = time.Now().UnixMilli(), 0
 }
 
+// heard handles a line of the server's process.
+func (m *server) heard(line string) {
+	fields := strings.Fields(line)
+	switch {
+	case fields[0] == "runs":
+		m.runs.Add(1)
+		if m.ran != nil {
+			m.ran(fields[1])
+		}
+	case fields[0] == "crashes" && m.crashed != nil:
+		m.crashed()
+	}
+}
+
+// startAgain makes a server that has crashed on a request start again after a time.
+func (m *server) startAgain(outage time.Duration) {
+	m.mu.Lock()
+	m.state = ""
+	m.mu.Unlock()
+	_ = m.command.Wait()
+	time.Sleep(outage)
+	m.start()
+	m.set("ready")
+}
+
 // crash ends the server's process. Its entry stays until it lapses, or until the server is back.
 func (m *server) crash() {
 	m.mu.Lock()
