--- a/review/stage-2/batch.go
+++ b/review/stage-2/batch.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"sync"
 	"time"
-
-	"github.com/jasminevale/jasminevale/platform/jvstage"
 )
 
 // batchConfiguration has a route of kit-query: its requests may not be repeated.
@@ -30,9 +28,8 @@
 
 // playBatch: a part of prompts crashes each server that begins to write an answer on it. Requests with it come in batches.
 func playBatch(s *stage) verdict {
-	store := jvstage.NewStore()
-	defer store.Close()
-	store.Put("keyed.op", "config", []byte(batchConfiguration))
+	store := newStore()
+	store.put("keyed.op", "config", []byte(batchConfiguration))
 	var mu sync.Mutex
 	var crashes []time.Time
 	sentAt := map[string]time.Time{}
@@ -58,7 +55,7 @@
 			}
 		}
 	}
-	f := newFleet(s.dir, store.Address())
+	f := newFleet(s.dir, store)
 	defer f.close()
 	for _, zone := range []string{"a", "b", "c"} {
 		f.add("scot-central-" + zone)
--- a/review/stage-2/ends.go
+++ b/review/stage-2/ends.go
@@ -6,22 +6,25 @@
 	"slices"
 	"sync"
 	"time"
-
-	"github.com/jasminevale/jasminevale/platform/jvstage"
 )
 
+const streamConfiguration = `{"version":7,"routes":[
+ {"name":"r-2yhvz3p","host":"ficu95.example","pathPrefix":"/lohu930/","kind":"streaming","timeoutMs":15000,"targetLatencyMs":500,"priority":0,"service":"huvo11a","maxAttempts":2,"anonymous":false,"stickySessions":true,"streamResume":true,"targetGapMs":200}],
+ "services":[{"name":"huvo11a","healthPath":"/healthz","maxConnections":360,"protocol":"h1","tls":false,"engine":{"slots":64,"kvCapacityTokens":372904,"stride":5}}],
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+ "tenants":[{"name":"hule930","apiKeys":["n2ctnfzs989anu6wsjnb"],"priority":1,"prepaid":100000000}]}`
+
 // playEnds: a server that leaves crashes while it sends streams which have no length and end with their connection.
 func playEnds(s *stage) verdict {
 	const events, streams = 40, 12
-	store := jvstage.NewStore()
-	defer store.Close()
-	store.Put("keyed.op", "config", []byte(streamConfiguration))
+	store := newStore()
+	store.put("keyed.op", "config", []byte(streamConfiguration))
 	stream := serverSettings{Version: "v1", Events: events, Gap: 100 * time.Millisecond, Unframed: true}
 	for n := range 4 {
 		stream.ID = fmt.Sprintf("i-7f3a91c%d", n)
 		s.newServer(store, "huvo11a", stream)
 	}
-	f := newFleet(s.dir, store.Address())
+	f := newFleet(s.dir, store)
 	defer f.close()
 	f.add("scot-central-a")
 	f.add("scot-central-b")
--- a/review/stage-2/fleet.go
+++ b/review/stage-2/fleet.go
@@ -23,6 +23,7 @@
 	name    string
 	zone    string
 	ip      string
+	store   string
 	command *exec.Cmd
 	done    chan struct{}
 }
@@ -30,7 +31,7 @@
 // fleet is a set of routers that run as processes, with settings like those of a small deployment.
 type fleet struct {
 	dir     string
-	store   string
+	store   *store
 	network string
 	// front, ready and internal are the ports.
 	front, ready, internal int
@@ -38,7 +39,7 @@
 }
 
 // newFleet returns a fleet without routers on a random loopback network.
-func newFleet(dir, store string) *fleet {
+func newFleet(dir string, store *store) *fleet {
 	return &fleet{
 		dir: dir, store: store, network: fmt.Sprintf("127.%d.%d", 10+rand.IntN(200), 1+rand.IntN(250)),
 		front: minPort + rand.IntN(5000), ready: 18_000 + rand.IntN(5000), internal: 24_000 + rand.IntN(maxPort-24_000),
@@ -72,6 +73,7 @@
 func (f *fleet) add(zone string) *router {
 	n := len(f.routers) + 1
 	r := &router{name: fmt.Sprintf("front-%s-%d", zone, n), zone: zone, ip: fmt.Sprintf("%s.%d", f.network, n)}
+	r.store = f.store.address(r.name)
 	f.routers = append(f.routers, r)
 	f.start(r, true)
 	return r
@@ -80,7 +82,7 @@
 // start starts a router's process.
 func (f *fleet) start(r *router, first bool) {
 	file := filepath.Join(f.dir, r.name+".yaml")
-	text := fmt.Sprintf(nodeSettings, r.name, r.ip, r.zone, r.ip, f.front, r.ip, f.ready, f.internal, f.internal+15, first, f.store)
+	text := fmt.Sprintf(nodeSettings, r.name, r.ip, r.zone, r.ip, f.front, r.ip, f.ready, f.internal, f.internal+15, first, r.store)
 	must(os.WriteFile(file, []byte(text), 0o600))
 	output, err := os.OpenFile(filepath.Join(f.dir, r.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	must(err)
--- a/review/stage-2/main.go
+++ b/review/stage-2/main.go
@@ -8,7 +8,6 @@
 	"os/exec"
 	"os/signal"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -31,18 +30,15 @@
 
 	dir     string
 	servers []*server
-	// storeDown is true while the store takes no calls.
-	storeDown atomic.Bool
 	// trouble is false if the case is played without its disruption.
 	trouble bool
 }
 
 var cases = map[string]func(*stage) verdict{
-	"dark":     playDark,
-	"ends":     playEnds,
-	"batch":    playBatch,
-	"moves":    playMoves,
-	"in-place": playInPlace,
+	"ends":  playEnds,
+	"batch": playBatch,
+	"taken": playTaken,
+	"moves": playMoves,
 }
 
 func main() {
--- a/review/stage-2/moves.go
+++ b/review/stage-2/moves.go
@@ -7,8 +7,6 @@
 	"strings"
 	"sync"
 	"time"
-
-	"github.com/jasminevale/jasminevale/platform/jvstage"
 )
 
 const (
@@ -38,6 +36,13 @@
 	c.tokens += movesPrompt + int64(events)*movesStride
 }
 
+// addTokens counts tokens.
+func (c *consumption) addTokens(n int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tokens += n
+}
+
 func (c *consumption) sum() int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -48,16 +53,15 @@
 // up there.
 func playMoves(s *stage) verdict {
 	const streams, leaveEvents, rounds, callers = 48, 10, 60, 8
-	store := jvstage.NewStore()
-	defer store.Close()
-	store.Put("keyed.op", "config", fmt.Appendf(nil, movesConfiguration, movesStride, movesPrepaid))
+	store := newStore()
+	store.put("keyed.op", "config", fmt.Appendf(nil, movesConfiguration, movesStride, movesPrepaid))
 	engine := serverSettings{Events: movesEvents, Gap: 10 * time.Millisecond}
 	for n := range 4 {
 		engine.ID, engine.Version = fmt.Sprintf("i-7f3a91c%d-engine", n), []string{"v1", "v2"}[n%2]
 		s.newServer(store, "huvo11a", engine)
 	}
 	s.newServer(store, "wuno96b", serverSettings{ID: "i-02d9e6b4", Version: "v1", Events: 3, Gap: 10 * time.Millisecond})
-	f := newFleet(s.dir, store.Address())
+	f := newFleet(s.dir, store)
 	defer f.close()
 	f.add("scot-central-a")
 	f.add("scot-central-b")
--- a/review/stage-2/server.go
+++ b/review/stage-2/server.go
@@ -18,8 +18,6 @@
 	"sync/atomic"
 	"syscall"
 	"time"
-
-	"github.com/jasminevale/jasminevale/platform/jvstage"
 )
 
 // serverSettings are the arguments of a server's process.
@@ -134,7 +132,7 @@
 	serverSettings
 
 	s       *stage
-	store   *jvstage.Store
+	records *store
 	service string
 	command *exec.Cmd
 	// runs is the number of requests that the server has run.
@@ -150,12 +148,12 @@
 }
 
 // newServer starts a server and writes its entry.
-func (s *stage) newServer(store *jvstage.Store, service string, settings serverSettings) *server {
+func (s *stage) newServer(store *store, service string, settings serverSettings) *server {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must(err)
 	_ = l.Close()
 	settings.Address = fmt.Sprintf("127.%d.%d.%d:%d", 10+rand.IntN(200), 1+rand.IntN(250), 1+rand.IntN(250), minPort+rand.IntN(maxPort-minPort))
-	m := &server{serverSettings: settings, s: s, store: store, service: service}
+	m := &server{serverSettings: settings, s: s, records: store, service: service}
 	m.start()
 	m.set("ready")
 	go func() {
@@ -237,7 +235,7 @@
 	m.mu.Unlock()
 	m.s.add("server %s reports %q", m.ID, state)
 	if state == "" {
-		m.store.Put("keyed.servers", m.ID, nil)
+		m.records.put("keyed.servers", m.ID, nil)
 		return
 	}
 	m.beat()
@@ -247,10 +245,10 @@
 func (m *server) beat() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.state == "" || m.s.storeDown.Load() {
+	if m.state == "" {
 		return
 	}
 	m.sequence++
-	m.store.Put("keyed.servers", m.ID, fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"scot-central-a","version":%q,"slots":64,"state":%q,"coldRemainingMs":0,"stage":"both","models":[{"name":"m","version":1,"adapters":[]}],"sequence":%d,"born":%d}`,
+	m.records.put("keyed.servers", m.ID, fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"scot-central-a","version":%q,"slots":64,"state":%q,"coldRemainingMs":0,"stage":"both","models":[{"name":"m","version":1,"adapters":[]}],"sequence":%d,"born":%d}`,
 		m.service, m.Address, m.Version, m.state, m.sequence, m.born))
 }
