review: a leaving server gets requests again after a drill

A server that has crashed, started again under its id and is leaving gets requests again from machines that had passed on Server-Leaving, if the store comes back from a copy with the entry of its earlier process.

--- a/review/stage-2/main.go
+++ b/review/stage-2/main.go
@@ -35,10 +35,11 @@
 }
 
 var cases = map[string]func(*stage) verdict{
-	"ends":  playEnds,
-	"batch": playBatch,
-	"taken": playTaken,
-	"moves": playMoves,
+	"ends":   playEnds,
+	"batch":  playBatch,
+	"taken":  playTaken,
+	"leaves": playLeaves,
+	"moves":  playMoves,
 }
 
 func main() {
