--- a/review/stage-2/main.go
+++ b/review/stage-2/main.go
@@ -35,11 +35,12 @@
 }
 
 var cases = map[string]func(*stage) verdict{
-	"ends":   playEnds,
-	"batch":  playBatch,
-	"taken":  playTaken,
-	"leaves": playLeaves,
-	"moves":  playMoves,
+	"ends":     playEnds,
+	"batch":    playBatch,
+	"taken":    playTaken,
+	"leaves":   playLeaves,
+	"in-place": playInPlace,
+	"moves":    playMoves,
 }
 
 func main() {
