--- a/review/stage-2/inplace.go
+++ b/review/stage-2/inplace.go
@@ -10,12 +10,12 @@
 // playInPlace: while the store is down, a server starts again under its ID with another version of its software. Streams
 // that begin there then break off, as the server goes down once more.
 func playInPlace(s *stage) verdict {
-	const events, streams, storeDown = 50, 18, 6500 * time.Millisecond
+	const events, streams, storeDown, down = 50, 24, 6500 * time.Millisecond, 2 * time.Second
 	store := newStore()
 	store.put("keyed.op", "config", []byte(streamConfiguration))
 	settings := serverSettings{Version: "v1", Events: events, Gap: 100 * time.Millisecond}
 	var servers []*server
-	for n := range 3 {
+	for n := range 4 {
 		settings.ID = fmt.Sprintf("i-7f3a91c%d", n)
 		servers = append(servers, s.newServer(store, "huvo11a", settings))
 	}
@@ -53,16 +53,21 @@
 	if s.trouble {
 		s.setStoreDown(store, true)
 		time.AfterFunc(storeDown, func() { s.setStoreDown(store, false) })
+		time.Sleep(300 * time.Millisecond)
+		servers[0].crash()
+		servers[0].Version = "v2"
+		time.Sleep(down)
+		servers[0].start()
+		servers[0].set("ready")
+		time.AfterFunc(2200*time.Millisecond, func() {
+			servers[0].crash()
+			time.Sleep(down)
+			servers[0].start()
+			servers[0].set("ready")
+		})
 	}
-	time.Sleep(300 * time.Millisecond)
-	servers[0].crash()
-	servers[0].Version = "v2"
-	time.Sleep(2 * time.Second)
-	servers[0].start()
-	servers[0].set("ready")
 	time.Sleep(700 * time.Millisecond)
-	time.AfterFunc(1500*time.Millisecond, servers[0].crash)
-	play(20*time.Millisecond, 0)
+	play(15*time.Millisecond, 0)
 	mixed := 0
 	for _, a := range answers {
 		if strings.Contains(versions(a), "+") {
