Send the origin of each stream that may be resumed before its first event

Cause: a router sent an origin to others only if the stream's own pool had had several versions, while the one that takes the stream up asks whether all pools of the route have had one. What a begun stream is bound to was derived from what a router happened to know at the time, on both sides.

Ruled out: lost packets (some streams would go on), a late topic of versions.

Now the origin goes to four routers before the first event, whatever the versions are, for routes that may be resumed. A router that takes a stream up goes by what it or another one was told; it infers a version from those of the pools only if nobody was told, and answers say which it is. That also ends a race: a router that had not read of a new version took the old one for the only one. Request IDs over 256 bytes go by their digest; their streams had no origin. Fewer parts: nothing is queued, batched or expired any more.

Bounds at 330 routers with 33 streams a second each (TestOriginsOfManyRouters): four packets a stream, at most twice an even share of origins at a router, 8,192 at any time by the cache.

Replaced check: TestOneVersionNeedsNoMessages asked for silence while a pool has one version, which is the fault. Its successor asks for exactly the messages to the holders and still for no records.

--- a/internal/jvrelay/version.go
+++ b/internal/jvrelay/version.go
@@ -41,5 +41,7 @@
 		return
 	}
 	a.origin, a.bound = jvversion.Origin{Pool: a.pool, Version: a.version}, true
-	r.options.Versions.Begin(a.request.ID, a.origin)
+	if a.route.Resumable {
+		r.options.Versions.Begin(a.request.ID, a.origin)
+	}
 }
--- a/internal/jvversion/find.go
+++ b/internal/jvversion/find.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/jasminevale/jasminevale/internal/jvcodec"
@@ -18,39 +19,70 @@
 )
 
 // Find returns where the stream of a request began whose route uses some pools. It asks other routers if this
-// one does not know, for maxSends * resendInterval at most.
+// one was not told, for maxSends * resendInterval at most. What somebody was told goes before what follows from the
+// versions of the pools, since a router may not know yet of a version that has just appeared.
 func (v *Versions) Find(ctx context.Context, pools []string, request string) (Origin, Source) {
-	o, source := v.findHere(pools, request)
-	if source != SourceNone || len(request) > maxNameBytes || len(pools) > maxPools {
-		return o, source
+	request = shortRequest(request)
+	if o, ok := v.find(request); ok {
+		return o, SourceOwn
 	}
-	others := v.options.Others()
-	asked, rest := likelyHolders(request, others)
-	answers := make(chan answer, maxSends*len(others)+1)
-	number := v.ask(answers)
-	defer v.forget(number)
-	data := jvcodec.Encode(message{Question: &question{Number: number, Request: request, Pools: pools}})
-	answered := map[string]bool{}
-	for range maxSends {
-		if o, ok := v.askOnce(ctx, data, asked, answered, answers); ok {
+	version, single := v.history.only(pools)
+	if request == "" || len(pools) > maxPools {
+		return inferred(version, single)
+	}
+	likely, rest := likelyHolders(request, v.options.Others())
+	s := v.newSearch(pools, request, len(rest)+maxSends*len(likely))
+	defer v.forget(s.number)
+	for n := range maxSends {
+		asked := likely
+		if n == 1 { // The router that began the stream may be none of the likely holders.
+			asked = slices.Concat(likely, rest)
+		}
+		if o, ok := s.ask(ctx, asked); ok {
 			return o, SourcePeer
 		}
-		// A router that did not share its streams since it knows of one version only may be none of the likely holders.
-		asked, rest = append(asked, rest...), nil
-		if ctx.Err() != nil || len(answered) >= len(others) {
-			break
+		switch {
+		case single: // The holders had time to answer.
+			return inferred(version, single)
+		case s.inferred != "" && !v.history.contradicts(pools, s.inferred):
+			return Origin{Version: s.inferred}, SourcePeer
+		case ctx.Err() != nil, n > 0 && s.complete(likely, rest):
+			return Origin{}, SourceNone
 		}
 	}
 	return Origin{}, SourceNone
 }
 
-// ask registers a question whose answers go to a channel, and returns its number.
-func (v *Versions) ask(answers chan answer) uint64 {
+// inferred returns the origin of a stream if all targets of its pools have had one version.
+func inferred(version string, single bool) (Origin, Source) {
+	if !single {
+		return Origin{}, SourceNone
+	}
+	return Origin{Version: version}, SourceOnly
+}
+
+// search is a question to other routers.
+type search struct {
+	versions *Versions
+	number   uint64
+	data     []byte
+	answers  chan answer
+	// answered are the routers that don't know the origin.
+	answered map[string]bool
+	// inferred is the version that a router infers, or "".
+	inferred string
+}
+
+// newSearch registers a question that gets some answers at most.
+func (v *Versions) newSearch(pools []string, request string, answers int) *search {
+	s := &search{versions: v, answers: make(chan answer, answers), answered: map[string]bool{}}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.lastNumber++
-	v.questions[v.lastNumber] = answers
-	return v.lastNumber
+	s.number = v.lastNumber
+	s.data = jvcodec.Encode(message{Question: &question{Number: s.number, Request: request, Pools: pools}})
+	v.questions[s.number] = s.answers
+	return s
 }
 
 func (v *Versions) forget(number uint64) {
@@ -59,26 +91,31 @@
 	delete(v.questions, number)
 }
 
-// askOnce sends a question to the routers that have not answered, and waits until one of them knows the origin,
+// ask sends the question to the routers that have not answered, and waits until one of them was told the origin,
 // all have answered, or it is time to send the question again.
-func (v *Versions) askOnce(ctx context.Context, data []byte, asked []jvmember.Member, answered map[string]bool, answers chan answer) (Origin, bool) {
+func (s *search) ask(ctx context.Context, asked []jvmember.Member) (Origin, bool) {
+	v := s.versions
 	missing := 0
 	for _, m := range asked {
-		if !answered[m.Name] {
+		if !s.answered[m.Name] {
 			missing++
-			v.options.Send(m, data)
+			v.options.Send(m, s.data)
 		}
 	}
 	resend := v.options.Timer.After(resendInterval)
 	for missing > 0 {
 		select {
-		case a := <-answers:
-			if a.Known {
+		case a := <-s.answers:
+			switch {
+			case a.Known && !a.Inferred:
 				return a.Origin, true
-			}
-			if !answered[a.From] {
-				answered[a.From] = true
+			case s.answered[a.From]:
+			default:
+				s.answered[a.From] = true
 				missing--
+				if a.Known {
+					s.inferred = a.Version
+				}
 			}
 		case <-resend:
 			return Origin{}, false
@@ -88,3 +125,15 @@
 	}
 	return Origin{}, false
 }
+
+// complete reports whether all routers have answered.
+func (s *search) complete(lists ...[]jvmember.Member) bool {
+	for _, list := range lists {
+		for _, m := range list {
+			if !s.answered[m.Name] {
+				return false
+			}
+		}
+	}
+	return true
+}
--- a/internal/jvversion/history.go
+++ b/internal/jvversion/history.go
@@ -216,6 +216,18 @@
 	return version, found && version != ""
 }
 
+// contradicts reports whether a pool is known to have had another version in the window.
+func (h *history) contradicts(pools []string, version string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, s := range h.states {
+		if s.origin.Version != version && slices.Contains(pools, s.origin.Pool) {
+			return true
+		}
+	}
+	return false
+}
+
 // views returns all versions in order of pool and version.
 func (h *history) views() []View {
 	h.mu.Lock()
--- a/internal/jvversion/message.go
+++ b/internal/jvversion/message.go
@@ -33,6 +33,9 @@
 	From string `cbor:"from"`
 	// Known is true if the router knows the origin.
 	Known bool `cbor:"known"`
+	// Inferred is true if nobody told the router, and the pools have had one version only. Builds that don't know
+	// the field never set it.
+	Inferred bool `cbor:"inferred,omitempty"`
 	Origin
 }
 
@@ -57,5 +60,8 @@
 	if len(m.Begun) > maxBegun || m.Question != nil && len(m.Question.Pools) > maxPools {
 		return m, jvfault.Newf(op, KindMalformed, "%d streams", len(m.Begun))
 	}
+	if a := m.Answer; a != nil && a.Known && (a.Version == "" || len(a.Pool) > maxNameBytes || len(a.Version) > maxNameBytes) {
+		return m, jvfault.Newf(op, KindMalformed, "an answer without version, or with long names")
+	}
 	return m, nil
 }
--- a/internal/jvversion/options.go
+++ b/internal/jvversion/options.go
@@ -33,21 +33,19 @@
 	Gather func() time.Duration
 	// Window is how long a version counts after its last target is gone. It is longer than any stream.
 	Window time.Duration
-	// StreamLifetime is the longest time from the first event of a stream until it is resumed.
-	StreamLifetime time.Duration
-	// MaxStreams limits the streams whose versions are remembered.
+	// MaxStreams limits the streams whose origins are remembered, of this router's and of those that others send. The
+	// latest ones are kept.
 	MaxStreams int
 }
 
 // DefaultOptions returns options with defaults for all numbers.
 func DefaultOptions() Options {
 	return Options{
-		Logger:         logr.Discard(),
-		Current:        func() bool { return true },
-		ReadWait:       5 * time.Second,
-		ReadTimeout:    5500 * time.Millisecond,
-		Window:         time.Minute,
-		StreamLifetime: 30 * time.Second,
-		MaxStreams:     1 << 13,
+		Logger:      logr.Discard(),
+		Current:     func() bool { return true },
+		ReadWait:    5 * time.Second,
+		ReadTimeout: 5500 * time.Millisecond,
+		Window:      time.Minute,
+		MaxStreams:  1 << 13,
 	}
 }
