Spend tokens only once three other routers know of them

Cause: a holder spent tokens of which only it and the store knew, and after a drill the others waited 3 s for it. A router that is turned away, frozen or slow for longer was taken for gone, and what it had taken since the copy was taken again.

Evidence: TestSetBackLogKeepsPrepaid has five new histories (cut off from the log, frozen, two cut off from all others, frozen with all that know, messages lost). Ruled out: offsets of another era, and late appends; their histories passed before.

Now tokens are spent once three other routers have answered that they know of them, or all others if they are fewer. A renewal ends when all live routers have spoken, by a statement of the new era or in packets: a router that the store turns away is asked directly. Those that are silent or have started anew may be three at most: a holder and its witnesses would be four. So no wait decides, but for the end after 20 s with more of them silent, when what they can have spent counts as held. Tokens that too few know of when the log is set back are given back unspent.

On the way: a claimed epoch starts at the number 0 again. The topic of the tests counts from the claim, so that after a drill no statement was published there, and all renewals ended by their limit.

Stricter check: the histories fail if more than the prepaid total is used or spendable; before, if more was used. Mutants: a router that spends at once, and a renewal that ends with many silent, are detected.

--- a/internal/jvgrant/allocator.go
+++ b/internal/jvgrant/allocator.go
@@ -44,6 +44,12 @@
 	renewal *renewal
 	// issued is the most that this process has asked for of each budget, in all: a record with more is not credited.
 	issued map[string]int64
+	// takings are the tokens that this router has taken and does not spend yet, by workspace; witnessed gets an element
+	// when none are left.
+	takings   map[string]*taking
+	witnessed chan struct{}
+	// process is a random number that identifies this process.
+	process int64
 	// draw is the round's random number in [0, 1) for PolicyInput.
 	draw float64
 	// startedAt is when this process started.
@@ -78,6 +84,9 @@
 		startedAt:   o.ReadClocks(),
 		roundDone:   make(chan struct{}),
 		issued:      map[string]int64{},
+		takings:     map[string]*taking{},
+		witnessed:   make(chan struct{}, 1),
+		process:     1 + int64(o.Random()*(1<<53)),
 	}
 	follow := func(name string, topic jvkeyed.Topic, apply func([]jvkeyed.Record, bool), renew func(uint64, []jvkeyed.Record)) *jvkeyed.Follower {
 		return jvkeyed.NewFollower(jvkeyed.Options{
@@ -125,14 +134,14 @@
 	}
 }
 
-// credit raises this router's account to its recorded holding. What this process has not asked for goes back: an append
+// credit raises this router's account to its recorded holding, once others know of it. What this process has not asked for goes back: an append
 // of an earlier process took effect late, or one before the log was set back took effect after it. a.mu must be held.
 func (a *Allocator) credit(workspace string, h Holding) {
 	account := a.escrow.Account(workspace)
 	if excess := h.Granted - max(account.Granted, a.issued[workspace]); excess > 0 {
 		h.Returned = max(h.Returned, account.Returned) + excess
 	}
-	a.escrow.RaiseTotals(workspace, h.Granted, h.Returned)
+	a.take(workspace, h)
 }
 
 func (a *Allocator) applyStatements(records []jvkeyed.Record, _ bool) {
@@ -230,6 +239,7 @@
 func (a *Allocator) Close(ctx context.Context) {
 	a.mu.Lock()
 	a.closed = true
+	a.abandonTakings()
 	a.mu.Unlock()
 	if !a.ready() || !a.startRound(ctx) {
 		return
--- a/internal/jvgrant/begin.go
+++ b/internal/jvgrant/begin.go
@@ -21,7 +21,7 @@
 	a.restoreHoldings()
 	a.restored = true
 	if a.startsIncomplete() {
-		a.beginRenewal() // The routers that were live before have started anew, too.
+		a.beginRenewal(true) // The routers that were live before have started anew, too.
 	}
 	a.options.Logger.Info("budgets read", "epoch", a.publisher.epoch, "grants", a.offsets(), "statements", a.statements.NextOffset())
 	a.mu.Unlock()
--- a/internal/jvgrant/dump.go
+++ b/internal/jvgrant/dump.go
@@ -34,6 +34,26 @@
 	Budgets      map[string]BudgetStatus `json:"budgets"`
 }
 
+// UnwitnessedTokens returns how many tokens this router has taken and does not spend yet, since too few others know of them.
+func (a *Allocator) UnwitnessedTokens() (sum int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for w := range a.takings {
+		sum += a.taken(w)
+	}
+	return sum
+}
+
+// CountAwaited returns the number of routers that are awaited before tokens are taken, after the log was set back.
+func (a *Allocator) CountAwaited() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.mayTake() {
+		return 0
+	}
+	return len(a.renewal.awaited)
+}
+
 // Dump returns the state of all budgets.
 func (a *Allocator) Dump() Dump {
 	d := Dump{Ready: a.Ready(), LastSeen: a.LastSeen(), GrantOffsets: a.offsets(), Budgets: map[string]BudgetStatus{}}
--- a/internal/jvgrant/error.go
+++ b/internal/jvgrant/error.go
@@ -16,6 +16,8 @@
 	KindEmpty Kind = "empty"
 	// KindWait means that this router holds too little, and may get more if the request waits.
 	KindWait Kind = "wait"
+	// KindMalformed means that a message of another router can't be decoded.
+	KindMalformed Kind = "malformed"
 	// KindUnready means that the router has not yet read what it held before its start.
 	KindUnready Kind = "unready"
 )
--- a/internal/jvgrant/history_test.go
+++ b/internal/jvgrant/history_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -14,6 +15,7 @@
 
 	"github.com/jasminevale/jasminevale/internal/jvescrow"
 	"github.com/jasminevale/jasminevale/internal/jvkeyed"
+	"github.com/jasminevale/jasminevale/internal/jvmember"
 	"github.com/jasminevale/jasminevale/internal/jvproperty"
 	"github.com/jasminevale/jasminevale/internal/jvtimer"
 )
@@ -49,10 +51,12 @@
 	boot   int
 	booted time.Time
 	// clockOffset is the error of the machine's wall clock.
-	clockOffset  time.Duration
-	grants       *topicClient
-	statements   *topicClient
-	allocator    *Allocator
+	clockOffset time.Duration
+	grants      *topicClient
+	statements  *topicClient
+	allocator   *Allocator
+	// mute is true while no message reaches the router or comes from it; frozen while it stands still.
+	mute, frozen bool
 	reservations []jvescrow.Reservation
 	// used is what requests at this machine actually used, over all its restarts.
 	used int64
@@ -68,6 +72,9 @@
 	// seedMu guards seed: the rounds of a router may run at once.
 	seedMu sync.Mutex
 	seed   uint64
+	// lost is the share of messages that are lost; apart is true if routers exchange none.
+	lost  float64
+	apart bool
 	// small is the size above which the fleet counts as large.
 	small int
 	// noWorkspaces is true while the configuration has no workspaces.
@@ -147,6 +154,20 @@
 	options.ReadClocks = func() ClockReading {
 		return ClockReading{BootID: fmt.Sprint(o.name, o.boot), Uptime: time.Since(o.booted), WallClock: time.Now().Add(o.clockOffset)}
 	}
+	options.Others = func() (list []jvmember.Member) {
+		if h.apart {
+			return nil
+		}
+		for n, other := range h.nodes {
+			if other != o {
+				list = append(list, jvmember.Member{Name: other.name, Zone: fmt.Sprint("z", n%2)})
+			}
+		}
+		return list
+	}
+	options.Send = func(to jvmember.Member, data []byte) {
+		h.send(o, h.nodes[slices.IndexFunc(h.nodes, func(n *node) bool { return n.name == to.Name })], data)
+	}
 	options.ConfigLoaded = func() bool { return true }
 	options.Prepaid = func(string) (int64, bool) { return h.prepaid, true }
 	options.Workspaces = func() []string {
@@ -158,6 +179,14 @@
 	return options
 }
 
+// send delivers a message and its replies, unless they are lost.
+func (h *history) send(from, to *node, data []byte) {
+	if from.mute || to.mute || to.frozen || to.allocator == nil || from.allocator == nil || h.lost > 0 && h.random() < h.lost {
+		return
+	}
+	_ = to.allocator.Receive(data, func(reply []byte) { h.send(to, from, reply) })
+}
+
 // start starts a process of a router.
 func (h *history) start(o *node) {
 	o.allocator = NewAllocator(h.options(o))
--- a/internal/jvgrant/options.go
+++ b/internal/jvgrant/options.go
@@ -6,6 +6,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/jasminevale/jasminevale/internal/jvkeyed"
+	"github.com/jasminevale/jasminevale/internal/jvmember"
 	"github.com/jasminevale/jasminevale/internal/jvtimer"
 )
 
@@ -17,8 +18,12 @@
 	// statements.
 	Grants     []jvkeyed.Topic
 	Statements jvkeyed.Topic
-	Timer      *jvtimer.Service
-	Logger     logr.Logger
+	// Others returns the other routers of the fleet, or is nil if there are none. Send sends a message to one; it may be
+	// lost.
+	Others func() []jvmember.Member
+	Send   func(to jvmember.Member, message []byte)
+	Timer  *jvtimer.Service
+	Logger logr.Logger
 	// Random returns a number in [0, 1); it must be safe for concurrent use.
 	Random func() float64
 	Policy Policy
--- a/internal/jvgrant/publisher.go
+++ b/internal/jvgrant/publisher.go
@@ -69,6 +69,7 @@
 		switch jvfault.KindOf[jvkeyed.Kind](err) {
 		case "", jvkeyed.KindRepeated:
 			a.publisher.epochClaimed = a.publisher.epoch == epoch // Else the era has changed.
+			a.publisher.sequence = 0                              // The store may count from the claim.
 			a.options.Logger.Info("epoch claimed", "epoch", epoch)
 		case jvkeyed.KindFenced:
 			a.publisher.epoch = a.nextEpoch(2 * epoch)
@@ -118,6 +119,7 @@
 	switch {
 	case err == nil, kind == jvkeyed.KindRepeated:
 		p.published = &statement
+		a.noteStated(statement, end.Offset)
 		p.end = max(p.end, end.Offset)
 		p.pending = nil
 		p.inDoubt = false
@@ -153,7 +155,8 @@
 		ClockUnixMilli: c.WallClock.UnixMilli(),
 		ReadOffset:     max(a.statements.NextOffset(), a.publisher.end),
 	}
-	due := a.publisher.published == nil || a.publisher.published.Epoch != s.Epoch // Others wait for one of the epoch.
+	due := a.publisher.published == nil || a.publisher.published.Epoch != s.Epoch || a.stateTakings() // Others wait for one of the epoch.
+	s.Rows = append(s.Rows, origin{era: a.era, readOffset: a.statements.NextOffset(), process: a.process}.row())
 	for _, w := range a.budgets() {
 		r := a.newRow(w)
 		due = due || a.rowDue(r, c.Uptime)
--- a/internal/jvgrant/rebalance.go
+++ b/internal/jvgrant/rebalance.go
@@ -185,7 +185,7 @@
 	in := PolicyInput{
 		Prepaid:   prepaid,
 		Totals:    a.fleet.Totals(workspace, a.options.Router),
-		Available: a.escrow.Account(workspace).Available(),
+		Available: a.escrow.Account(workspace).Available() + a.taken(workspace),
 		Waiting:   a.waiting(workspace),
 		Routers:   a.routers(),
 		Draw:      a.draw,
--- a/internal/jvgrant/renewal.go
+++ b/internal/jvgrant/renewal.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/jasminevale/jasminevale/internal/jvfault"
@@ -20,27 +21,46 @@
 	recorded bool
 	// partitions are those whose holdings are in the log again, as this router knows them.
 	partitions map[int]bool
-	// awaited are the epochs of the other routers' statements before, while they have published none since.
-	awaited map[string]uint64
+	// awaited are the routers of which nothing has been heard since.
+	awaited map[string]awaitedRouter
+	// forgetful is the number of routers that have started anew, and may have been the witnesses of a taking.
+	forgetful int
+	// tolerated is how many routers may be silent or forgetful: the number of witnesses that each taking has.
+	tolerated int
 	// statements are the awaited routers' last statements before that the log lacks.
 	statements map[string]Statement
-	over       bool
+	// abandoned is true once it is not waited for silent routers any more.
+	abandoned bool
+	over      bool
+}
+
+// awaitedRouter is a router of which nothing has been heard since the log was set back.
+type awaitedRouter struct {
+	// epoch and process are those of its last statement before; process is 0 if that does not name it.
+	epoch   uint64
+	process int64
+	// parts are those of its answer that have arrived.
+	parts map[int]bool
 }
 
 const (
+	// abandonTime is how long a renewal waits for more routers than may be silent. Then what they can have spent by
+	// their last statements counts as held by them.
+	abandonTime = 20 * time.Second
 	// renewalTime is how long routers wait for each other after the log was set back, besides two reads of their
 	// statements.
 	renewalTime = 2 * time.Second
 	// eraRouter takes the place of a router in the key of a record whose two sums are the era up to which the
 	// holdings of its partition are complete. Releases that don't know it read a holding of no workspace.
 	eraRouter = "\x1fera"
+	// rowPrefix begins the workspaces of rows that are of none.
+	rowPrefix = "\x1f"
 	// holdingPrefix begins the workspace of a row that has a holding: Used is what was granted, Lost what was
 	// returned. Releases that don't know it read a row of no workspace.
-	holdingPrefix = "\x1fholding/"
+	holdingPrefix = rowPrefix + "holding/"
 )
 
-// renewalLimit returns how long after a renewal began it is over in any case. Routers that are silent until then are cut
-// off or have ended.
+// renewalLimit returns how long a renewal waits for routers that are silent, if they are few.
 func (a *Allocator) renewalLimit() time.Duration {
 	return renewalTime + 2*a.fleetSizeLocked().readInterval(a.options.ReadInterval, false)
 }
@@ -55,11 +75,12 @@
 	if before == 0 || !a.restored {
 		return
 	}
-	a.beginRenewal()
+	a.beginRenewal(false)
 	a.publisher.epochClaimed = false
 	a.publisher.epoch = a.nextEpoch(a.publisher.epoch)
 	a.publisher.inDoubt = false // Late appends of the epoch before are rejected once the next one is claimed.
 	a.publisher.end = 0
+	a.abandonTakings()
 	a.takeover.last = nil // Offsets of two eras don't order statements.
 	a.options.Logger.Info("budgets set back", "era", era, "from", before, "routers", len(a.renewal.awaited))
 	select {
@@ -68,13 +89,23 @@
 	}
 }
 
-// beginRenewal begins a renewal; a.mu must be held.
-func (a *Allocator) beginRenewal() {
+// beginRenewal begins a renewal; started is true if this process has just started. a.mu must be held.
+func (a *Allocator) beginRenewal(started bool) {
 	now := a.options.Timer.Now()
-	r := &renewal{noticedAt: now, partitions: map[int]bool{}, awaited: map[string]uint64{}, statements: map[string]Statement{}}
+	r := &renewal{noticedAt: now, partitions: map[int]bool{}, awaited: map[string]awaitedRouter{}, statements: map[string]Statement{}}
+	if started {
+		r.forgetful = 1
+	}
 	for router, s := range a.fleet.statements {
-		if router != a.options.Router && now.Sub(a.fleet.lastSeen[router]) < livenessTimeout {
-			r.awaited[router] = s.Epoch
+		o, named := s.origin()
+		if router == a.options.Router || now.Sub(a.fleet.lastSeen[router]) >= livenessTimeout {
+			continue
+		}
+		if named && r.tolerated < maxWitnesses {
+			r.tolerated++
+		}
+		if !named || o.era != a.era {
+			r.awaited[router] = awaitedRouter{epoch: s.Epoch, process: o.process}
 		}
 	}
 	if a.renewal != nil { // Set back twice: what the first copy lacked, the second one may lack too.
@@ -83,6 +114,50 @@
 	a.renewal = r
 }
 
+// hear removes a router from those that are awaited if its statement shows that the log has again what it knows.
+func (r *renewal) hear(router string, s Statement, era uint64) {
+	before, awaited := r.awaited[router]
+	o, named := s.origin()
+	if !awaited || named && o.era != era || !named && s.Epoch <= before.epoch {
+		return
+	}
+	delete(r.awaited, router)
+	delete(r.statements, router)
+	if named && before.process != 0 && o.process != before.process {
+		r.forgetful++
+	}
+}
+
+// isComplete reports whether the log has all holdings whose tokens may be spent: each is known to as many routers as may be
+// silent or have started anew.
+func (r *renewal) isComplete(age, limit time.Duration) bool {
+	silent := 0
+	for _, awaited := range r.awaited {
+		if awaited.process != 0 { // Routers of releases that name no process have no witnesses.
+			silent++
+		}
+	}
+	return len(r.awaited) == 0 || age >= limit && (silent == 0 || silent+r.forgetful <= r.tolerated)
+}
+
+// countSilent counts what silent routers can have spent by their last statements as held by them; a.mu must be held.
+func (a *Allocator) countSilent() {
+	for router := range a.renewal.awaited {
+		s := a.fleet.statements[router]
+		silence := a.options.Timer.Since(a.fleet.lastSeen[router])
+		for _, row := range s.Rows {
+			if strings.HasPrefix(row.Workspace, rowPrefix) {
+				continue
+			}
+			h, _ := a.fleet.Holding(row.Workspace, router)
+			if excess := row.boundAfter(silence) - h.Net(); excess > 0 {
+				a.learnHolding(router, newHeldRow(row.Workspace, Holding{Granted: h.Granted + excess, Returned: h.Returned}))
+			}
+		}
+	}
+	a.renewal.recorded = len(a.renewal.partitions) == len(a.partitions)
+}
+
 // mayTake reports whether tokens may be taken out of budgets; a.mu must be held.
 func (a *Allocator) mayTake() bool { return a.renewal == nil || a.renewal.over }
 
@@ -118,11 +193,9 @@
 			a.fleet.RaiseHolding(w, router, Holding{Granted: row.Used, Returned: row.Lost})
 		}
 	}
+	a.witnessStatement(router, s)
 	if r := a.renewal; r != nil && !r.over {
-		if epoch, awaited := r.awaited[router]; awaited && s.Epoch > epoch {
-			delete(r.awaited, router)
-			delete(r.statements, router)
-		}
+		r.hear(router, s, a.era)
 		if old := a.fleet.statements[router]; old.newer(s) {
 			return
 		}
@@ -228,6 +301,7 @@
 	}
 	a.mu.Unlock()
 	a.eachPartition(ctx, due, a.renewPartition)
+	a.askSilent()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.renewal != r {
@@ -235,12 +309,19 @@
 	}
 	r.recorded = len(r.partitions) == len(a.partitions)
 	age := a.options.Timer.Since(r.noticedAt)
+	limit := a.renewalLimit()
+	complete := r.isComplete(age, limit)
+	if r.recorded && age >= abandonTime && !r.abandoned && !complete {
+		r.abandoned = true
+		a.countSilent()
+	}
 	switch {
 	case !r.recorded:
-	case len(r.awaited) == 0, age >= a.renewalLimit():
+	case r.abandoned, complete && (len(r.statements) == 0 || age >= limit):
 		r.over = true
-		a.options.Logger.Info("budgets complete again", "era", a.era, "after", age.String(), "silent", slices.Sorted(maps.Keys(r.awaited)))
-	case age >= a.renewalLimit()/2 && len(r.statements) > 0:
+		a.options.Logger.Info("budgets complete again", "era", a.era, "after", age.String(), "silent", slices.Sorted(maps.Keys(r.awaited)),
+			"forgetful", r.forgetful, "abandoned", r.abandoned)
+	case (complete || age >= limit/2) && len(r.statements) > 0:
 		a.mu.Unlock()
 		a.recordStatements(ctx)
 		a.mu.Lock()
--- a/internal/jvgrant/renewal_test.go
+++ b/internal/jvgrant/renewal_test.go
@@ -24,6 +24,11 @@
 	drillStarter drill = "a router starts for the first time"
 	drillLate    drill = "an append takes effect after it"
 	drillKillAll drill = "all routers end before, and start after it"
+	drillTaken   drill = "a router takes tokens, and is cut off from the log at once"
+	drillFrozen  drill = "a router takes tokens, and stands still at once"
+	drillSilent  drill = "a router takes tokens, and it and one more are cut off from all others at once"
+	drillMany    drill = "a router takes tokens, and it and all that know of it stand still at once"
+	drillLossy   drill = "a router takes tokens while messages are lost, and is cut off from all others at once"
 )
 
 // mutants of routers whose log is set back.
@@ -31,6 +36,8 @@
 	mutantForgetsEra   mutant = "a new era is not noticed"
 	mutantTakesAtOnce  mutant = "a router takes tokens before all have recorded theirs"
 	mutantStartsAtOnce mutant = "a router that starts does not wait for the others"
+	mutantSpendsAtOnce mutant = "a router spends tokens of which no other knows"
+	mutantWaitsForFew  mutant = "a renewal ends with many routers silent"
 )
 
 // drillHistory plays random reservations of a fleet whose log is set back, and returns a violation or "".
@@ -40,6 +47,7 @@
 		if m == mutantForgetsEra {
 			h.grants.noEra, h.statements.noEra = true, true
 		}
+		h.apart = m == mutantForgetsEra || m == mutantTakesAtOnce // Else all routers know of all takings.
 		add := func() {
 			o := &node{name: fmt.Sprint("r", len(h.nodes)), booted: time.Now(), grants: &topicClient{topic: h.grants, result: callDone}, statements: &topicClient{topic: h.statements, result: callDone}}
 			h.nodes = append(h.nodes, o)
@@ -51,9 +59,10 @@
 		busy := func(span time.Duration, most int) {
 			for end := time.Now().Add(span); time.Now().Before(end) && violation == ""; time.Sleep(20 * time.Millisecond) {
 				for _, o := range h.nodes {
-					if o.allocator == nil {
+					if o.allocator == nil || o.frozen {
 						continue
 					}
+					h.inject(o)
 					if m == mutantTakesAtOnce && o.allocator.renewal != nil {
 						o.allocator.renewal.over = true
 					}
@@ -91,6 +100,11 @@
 		case drillCut:
 			last.setResult(callUnreachable)
 			busy(read, 300)
+		case drillTaken, drillFrozen, drillSilent, drillMany, drillLossy:
+			if d == drillLossy {
+				h.lost = 0.4
+			}
+			h.takeAndSilence(d, last)
 		case drillLate:
 			last.grants.result = callDelayed
 			busy(300*time.Millisecond, 3000)
@@ -119,7 +133,10 @@
 			h.grants.release()
 		}
 		busy(8*time.Second, 3000)
-		last.setResult(callDone)
+		for _, o := range h.nodes {
+			o.setResult(callDone)
+			o.mute, o.frozen = false, false
+		}
 		used := h.used()
 		busy(8*time.Second, 20_000)
 		if violation == "" && h.used() == used && used < h.prepaid/2 {
@@ -129,6 +146,34 @@
 	return violation
 }
 
+// takeAndSilence lets a router take tokens, and silences it and others before they read the log.
+func (h *history) takeAndSilence(d drill, last *node) {
+	h.nodes[0].mute = d == drillMany // All witnesses are among those that stand still.
+	for tries, before := 0, len(h.grants.records); tries < 20 && len(h.grants.records) == before; tries++ {
+		h.reserve(last, 3000)
+	}
+	h.nodes[0].mute = false
+	silenced := map[drill]int{drillTaken: 1, drillFrozen: 1, drillSilent: 2, drillMany: 4, drillLossy: 1}[d]
+	for _, o := range h.nodes[testRouters-silenced:] {
+		o.setResult(callUnreachable)
+		o.mute = d != drillTaken
+		o.frozen = d == drillFrozen || d == drillMany
+	}
+}
+
+// inject injects the mutant's fault into a router.
+func (h *history) inject(o *node) {
+	a := o.allocator
+	switch h.mutant {
+	case mutantSpendsAtOnce:
+		a.options.Others = nil
+	case mutantWaitsForFew:
+		if a.renewal != nil {
+			a.renewal.tolerated = testRouters
+		}
+	}
+}
+
 func (h *history) used() (sum int64) {
 	for _, o := range h.nodes {
 		sum += o.used
@@ -136,10 +181,16 @@
 	return sum
 }
 
-// checkUse returns a violation, or "": the fleet used more than was prepaid.
+// checkUse returns a violation, or "": the fleet used more than was prepaid, or may do so with what it holds.
 func (h *history) checkUse() string {
-	if used := h.used(); used > h.prepaid {
-		return fmt.Sprintf("%d tokens used of %d", used, h.prepaid)
+	sum := h.used()
+	for _, o := range h.nodes {
+		if o.allocator != nil {
+			sum += o.allocator.escrow.Account(testWorkspace).Available()
+		}
+	}
+	if sum > h.prepaid {
+		return fmt.Sprintf("%d tokens used or spendable of %d", sum, h.prepaid)
 	}
 	return ""
 }
@@ -147,7 +198,7 @@
 // TestSetBackLogKeepsPrepaid guards against tokens that are used twice: holdings and statements that the log loses when it
 // comes back from an earlier copy of itself have to be recorded again before anyone takes what they make up.
 func TestSetBackLogKeepsPrepaid(t *testing.T) {
-	for _, d := range []drill{drillAlone, drillTwice, drillKill, drillCut, drillStarter, drillLate, drillKillAll} {
+	for _, d := range []drill{drillAlone, drillTwice, drillKill, drillCut, drillStarter, drillLate, drillKillAll, drillTaken, drillFrozen, drillSilent, drillMany, drillLossy} {
 		for name, small := range map[string]int{"small": testSmallFleet, "large": testLargeFleet} {
 			t.Run(string(d)+"/"+name, func(t *testing.T) {
 				jvproperty.CheckFraction(t, 200, func(r *rapid.T) {
@@ -160,7 +211,7 @@
 
 // TestSetBackFaultsAreNoticed guards against a history that detects nothing: it must fail with each mutant.
 func TestSetBackFaultsAreNoticed(t *testing.T) {
-	for m, d := range map[mutant]drill{mutantForgetsEra: drillAlone, mutantTakesAtOnce: drillAlone, mutantStartsAtOnce: drillKill} {
+	for m, d := range map[mutant]drill{mutantForgetsEra: drillAlone, mutantTakesAtOnce: drillAlone, mutantStartsAtOnce: drillKill, mutantSpendsAtOnce: drillFrozen, mutantWaitsForFew: drillMany} {
 		t.Run(string(m), func(t *testing.T) {
 			caught, how := jvproperty.CheckFails(t, func(r *rapid.T) {
 				require.Empty(r, drillHistory(t, m, d, testSmallFleet, rapid.Uint64().Draw(r, "seed")))
--- a/internal/jvgrant/rounds.go
+++ b/internal/jvgrant/rounds.go
@@ -98,6 +98,7 @@
 		_ = a.callTopic(ctx, a.readStatements) // The follower logs failures.
 	}
 	rebalanced := (read || waiting || a.isLeaving()) && a.peersDiscovered() && a.rebalance(ctx)
+	a.awaitWitnesses(ctx)
 	if rebalanced {
 		published = a.publishIfDue(ctx) || published
 	}
@@ -177,12 +178,12 @@
 	}
 	defer func() { <-a.publishing }()
 	a.mu.Lock()
-	before := a.publisher.sequence
+	before := a.publisher.published
 	a.mu.Unlock()
 	_ = a.callTopic(ctx, a.publish) // publish logs failures; the next round retries.
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.publisher.sequence != before
+	return a.publisher.published != before
 }
 
 // updateDemand updates the means of demand for the time since the last round.
--- a/internal/jvgrant/statement.go
+++ b/internal/jvgrant/statement.go
@@ -78,6 +78,29 @@
 	return s.Epoch > other.Epoch || s.Epoch == other.Epoch && s.UptimeNanos > other.UptimeNanos
 }
 
+// origin is what a statement says of the process that published it.
+type origin struct {
+	// era is the log's era by then.
+	era uint64
+	// readOffset is the offset up to which the process had read the topic of statements.
+	readOffset uint64
+	// process is a random number.
+	process int64
+}
+
+// originRow is the workspace of the row that has the origin. Releases that don't know it read a row of no workspace.
+const originRow = rowPrefix + "origin"
+
+func (o origin) row() Row {
+	return Row{Workspace: originRow, Used: int64(o.era), Lost: o.process, Committed: int64(o.readOffset)}
+}
+
+// origin returns the statement's origin, and false if it is one of a release that names none.
+func (s Statement) origin() (origin, bool) {
+	r, ok := s.row(originRow)
+	return origin{era: uint64(r.Used), readOffset: uint64(r.Committed), process: r.Lost}, ok
+}
+
 // holdingRow returns a row with a router's holding of a workspace's budget.
 func holdingRow(workspace string, h Holding) Row {
 	return Row{Workspace: holdingPrefix + workspace, Used: h.Granted, Lost: h.Returned}
--- /dev/null
+++ b/internal/jvgrant/witness.go
@@ -0,0 +1,212 @@
+package jvgrant
+
+import (
+	"context"
+	"hash/fnv"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/jasminevale/jasminevale/internal/jvmember"
+)
+
+// taking is tokens that this router has taken out of a budget and does not spend yet: the log may come back from a copy
+// without the record, and only what other routers know of it is recorded again whatever becomes of this one.
+type taking struct {
+	// holding is this router's recorded holding, with the tokens.
+	holding Holding
+	// witnesses are the routers that know of it.
+	witnesses map[string]bool
+	at        time.Time
+	// statedEnd is where the topic of statements ended after the first statement with the holding, or 0.
+	statedEnd uint64
+}
+
+const (
+	// maxWitnesses is the number of other routers that must know of tokens before they are spent. In a renewal that many
+	// routers may stay silent, the holder among them, so that at least one witness has spoken.
+	maxWitnesses = 3
+	// spareWitnesses is how many more routers are asked at first: a packet may be lost, or a router have ended.
+	spareWitnesses = 1
+	// witnessInterval exceeds the round trip between zones, also to a router that is busy. A round sends maxWitnessSends
+	// times, to more routers each time.
+	witnessInterval = 25 * time.Millisecond
+	maxWitnessSends = 3
+	// stateTakingAfter is the age from which a taking makes a statement due: routers that read that are witnesses, too.
+	stateTakingAfter = 100 * time.Millisecond
+)
+
+// neededWitnesses returns how many other routers must know of tokens before they are spent; a.mu must be held.
+func (a *Allocator) neededWitnesses() int { return min(maxWitnesses, len(a.possibleWitnesses())) }
+
+// possibleWitnesses returns the live routers that answer messages, in the order in which they are asked: one of each zone, then
+// the next of each. a.mu must be held.
+func (a *Allocator) possibleWitnesses() []jvmember.Member {
+	if a.options.Others == nil {
+		return nil
+	}
+	now := a.options.Timer.Now()
+	ranks := map[string]uint32{}
+	zones := map[string][]jvmember.Member{}
+	for _, m := range a.options.Others() {
+		if _, answers := a.fleet.statements[m.Name].origin(); !answers || now.Sub(a.fleet.lastSeen[m.Name]) >= livenessTimeout {
+			continue
+		}
+		rank := fnv.New32a()
+		_, _ = rank.Write([]byte(a.options.Router + keySeparator + m.Name)) // A hash never returns an error.
+		ranks[m.Name] = rank.Sum32()
+		zones[m.Zone] = append(zones[m.Zone], m)
+	}
+	names := slices.Sorted(maps.Keys(zones))
+	for _, zone := range names {
+		slices.SortFunc(zones[zone], func(x, y jvmember.Member) int { return int(int64(ranks[x.Name]) - int64(ranks[y.Name])) })
+	}
+	var list []jvmember.Member
+	for n, found := 0, true; found; n++ {
+		found = false
+		for _, zone := range names {
+			if n < len(zones[zone]) {
+				list = append(list, zones[zone][n])
+				found = true
+			}
+		}
+	}
+	return list
+}
+
+// take credits a recorded holding once enough routers know of the tokens in it; a.mu must be held.
+func (a *Allocator) take(workspace string, h Holding) {
+	account := a.escrow.Account(workspace)
+	if h.Net() <= account.Granted-account.Returned || a.neededWitnesses() == 0 {
+		a.escrow.RaiseTotals(workspace, h.Granted, h.Returned)
+		delete(a.takings, workspace)
+		return
+	}
+	if t := a.takings[workspace]; t != nil && t.holding.Granted >= h.Granted {
+		t.holding = t.holding.Raised(h)
+		return
+	}
+	a.takings[workspace] = &taking{holding: h, witnesses: map[string]bool{}, at: a.options.Timer.Now()}
+}
+
+// taken returns the tokens that this router has taken and does not spend yet; a.mu must be held.
+func (a *Allocator) taken(workspace string) int64 {
+	t := a.takings[workspace]
+	if t == nil {
+		return 0
+	}
+	account := a.escrow.Account(workspace)
+	return max(0, t.holding.Net()-(account.Granted-account.Returned))
+}
+
+// addWitness records that a router knows of a taking, and credits that once enough do; a.mu must be held.
+func (a *Allocator) addWitness(workspace, router string) {
+	t := a.takings[workspace]
+	t.witnesses[router] = true
+	if len(t.witnesses) < a.neededWitnesses() {
+		return
+	}
+	a.escrow.RaiseTotals(workspace, t.holding.Granted, t.holding.Returned)
+	delete(a.takings, workspace)
+	if len(a.takings) == 0 {
+		select {
+		case a.witnessed <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// abandonTakings returns the tokens that this router does not spend yet; a.mu must be held. After the log was set back,
+// others may have taken them again.
+func (a *Allocator) abandonTakings() {
+	for w, t := range a.takings {
+		account := a.escrow.Account(w)
+		a.escrow.RaiseTotals(w, t.holding.Granted, t.holding.Granted-(account.Granted-account.Returned))
+		a.options.Logger.Info("taken tokens given back unspent", "workspace", w, "tokens", t.holding.Net()-(account.Granted-account.Returned), "era", a.era, "witnesses", len(t.witnesses))
+	}
+	clear(a.takings)
+}
+
+// awaitWitnesses tells other routers of this router's takings, and waits until enough have answered or for
+// maxWitnessSends * witnessInterval. The next round goes on with the rest.
+func (a *Allocator) awaitWitnesses(ctx context.Context) {
+	select {
+	case <-a.witnessed: // That of an earlier round.
+	default:
+	}
+	for n := range maxWitnessSends {
+		receivers, m := a.takingMessage(n)
+		if len(m.Held) == 0 {
+			return
+		}
+		for _, to := range receivers {
+			for _, part := range m.parts() {
+				a.options.Send(to, part)
+			}
+		}
+		select {
+		case <-a.witnessed:
+			return
+		case <-a.options.Timer.After(witnessInterval):
+		case <-ctx.Done():
+			return
+		}
+	}
+	a.logTakings()
+}
+
+// takingMessage returns a message on this router's takings and the routers that get it.
+func (a *Allocator) takingMessage(sent int) ([]jvmember.Member, message) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	m := message{Router: a.options.Router, Kind: messageTaken, Era: a.era}
+	for _, w := range slices.Sorted(maps.Keys(a.takings)) {
+		m.Held = append(m.Held, newHeldRow(w, a.takings[w].holding))
+	}
+	receivers := a.possibleWitnesses()
+	return receivers[:min(len(receivers), (maxWitnesses+spareWitnesses)<<sent)], m
+}
+
+// logTakings logs the takings that too few routers know of.
+func (a *Allocator) logTakings() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, w := range slices.Sorted(maps.Keys(a.takings)) {
+		t := a.takings[w]
+		a.options.Logger.Info("tokens wait for witnesses", "workspace", w, "tokens", a.taken(w), "witnesses", len(t.witnesses),
+			"needed", a.neededWitnesses(), "ms", a.options.Timer.Since(t.at).Milliseconds())
+	}
+}
+
+// stateTakings reports whether a statement is due since others have not answered; a.mu must be held.
+func (a *Allocator) stateTakings() bool {
+	for _, t := range a.takings {
+		if t.statedEnd == 0 && a.options.Timer.Since(t.at) >= stateTakingAfter {
+			return true
+		}
+	}
+	return false
+}
+
+// noteStated records that a published statement has the holdings of takings; a.mu must be held.
+func (a *Allocator) noteStated(s Statement, end uint64) {
+	for _, row := range s.Rows {
+		if w, ok := row.holdingOf(); ok && a.takings[w] != nil && a.takings[w].statedEnd == 0 && row.Used >= a.takings[w].holding.Granted {
+			a.takings[w].statedEnd = end
+		}
+	}
+}
+
+// witnessStatement counts a router as a witness of the takings that it has read in this router's statements; a.mu must
+// be held.
+func (a *Allocator) witnessStatement(router string, s Statement) {
+	o, ok := s.origin()
+	if !ok || o.era != a.era || router == a.options.Router {
+		return
+	}
+	for w, t := range a.takings {
+		if t.statedEnd != 0 && o.readOffset >= t.statedEnd {
+			a.addWitness(w, router)
+		}
+	}
+}
