Refuse malformed responses, and ends of responses that a reset caused

What callers saw: a server answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written; the caller got that part as a complete answer (MIXED). Heads with a blank in the name of a field, and trailers, reached callers as well, with a body that was not the server's.

Cause: the system reports a reset once. If the write of the request's body gets the report, the next read finds the end of the connection, which ends a body without a length in order. And net/http takes a name with a blank for a name of its own, so that the framing in "Content-Length : 4" is missed. jvengine also took the status 000 for a response.

Ruled out: statuses that are none, at callers of platform, which TestNoFinalStatus covers.

internal/jvresponse now lies between net/http and each client of the programs: targets, other routers, the store, engines, peers and the platform. Names that are no tokens, in heads, informational ones and trailers, and statuses below 100 are errors of the response, quoted; the attempt fails as broken and is made again where that is allowed. At the end of a connection a read asks the system for its state: while only the peer has closed, the end is in order; if both sides are closed, a write that broke decides. That is no race: the read waits for a write in progress, which returns at once. A response that ends in order while the body is written stays whole (EndShut).

--- a/Makefile
+++ b/Makefile
@@ -60,7 +60,7 @@
 	@cd internal && JV_SEED=$${JV_SEED:-7} JV_CHECKS=5000 $(GO) test ./jvversion -run 'TestVersionHistories$$'
 	@cd internal && JV_SEED=$${JV_SEED:-7} JV_CHECKS=10000 $(GO) test ./jvreach -run TestReachHistories
 	@cd internal && $(GO) test ./jvrelay -run TestStreamHistories -rapid.checks=20000
-	@cd internal && for t in jvrelay:FuzzBegunStream jvsign:FuzzReceive jvgrant:FuzzDecodeRecords jvquarantine:FuzzDecodeRecord jvlimit:FuzzDecodeRecord jvversion:FuzzDecodeRecord jvversion:FuzzReceive jvmember:FuzzDecodeMember jvloan:FuzzReceive jvreach:FuzzReceive jvforward:FuzzAttemptHead jvforward:FuzzResponseHead jvledger:FuzzApply jvledger:FuzzRestore jvsetting:FuzzParseRouter jvoperator:FuzzParseBundle; do \
+	@cd internal && for t in jvrelay:FuzzBegunStream jvresponse:FuzzHead jvsign:FuzzReceive jvgrant:FuzzDecodeRecords jvquarantine:FuzzDecodeRecord jvlimit:FuzzDecodeRecord jvversion:FuzzDecodeRecord jvversion:FuzzReceive jvmember:FuzzDecodeMember jvloan:FuzzReceive jvreach:FuzzReceive jvforward:FuzzAttemptHead jvforward:FuzzResponseHead jvledger:FuzzApply jvledger:FuzzRestore jvsetting:FuzzParseRouter jvoperator:FuzzParseBundle; do \
 		$(GO) test ./$${t%%:*} -run '^$$' -fuzz $${t##*:} -fuzztime 1m || exit 1; done
 
 # Generates the HTTP code from internal/design and removes the generated clients, which are not used.
--- a/cmd/jvrouter/run.go
+++ b/cmd/jvrouter/run.go
@@ -22,6 +22,7 @@
 	"github.com/jasminevale/jasminevale/internal/jvpeer"
 	"github.com/jasminevale/jasminevale/internal/jvplatform"
 	"github.com/jasminevale/jasminevale/internal/jvpressure"
+	"github.com/jasminevale/jasminevale/internal/jvresponse"
 	"github.com/jasminevale/jasminevale/internal/jvsetting"
 	"github.com/jasminevale/jasminevale/internal/jvtimer"
 	"github.com/jasminevale/jasminevale/internal/jvtls"
@@ -111,7 +112,13 @@
 		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(s.Address)}
 	}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return jvresponse.NewConn(c), nil
+		},
 		MaxIdleConns:        maxIdleConnections,
 		MaxIdleConnsPerHost: maxIdleConnectionsPerHost,
 		IdleConnTimeout:     time.Minute,
@@ -133,7 +140,7 @@
 		}
 		peerTransport.TLSClientConfig, scheme = config, "wss"
 	}
-	platform := jvplatform.NewClient(strings.TrimSuffix(s.Platform.URL, "/"), &http.Client{Transport: newTransport(s)})
+	platform := jvplatform.NewClient(strings.TrimSuffix(s.Platform.URL, "/"), &http.Client{Transport: jvresponse.NewTransport(newTransport(s))})
 	o := jvfleet.DefaultOptions()
 	o.VM = s.VM
 	o.Zone = s.Zone
@@ -141,7 +148,7 @@
 	o.Random = jvchance.NewSource(seed)
 	o.Log = platform
 	o.VMs = platform
-	o.Network = jvpeer.NewClient(&http.Client{Transport: peerTransport}, scheme, secret, timer)
+	o.Network = jvpeer.NewClient(&http.Client{Transport: jvresponse.NewTransport(peerTransport)}, scheme, secret, timer)
 	o.Targets = jvengine.NewClient(newTransport(s), timer, s.StallTimeout())
 	o.Logger = logger
 	o.Journal.Stream = s.Platform.Stream
--- a/internal/jvengine/client.go
+++ b/internal/jvengine/client.go
@@ -23,6 +23,7 @@
 	"github.com/jasminevale/jasminevale/internal/jvend"
 	"github.com/jasminevale/jasminevale/internal/jvfault"
 	"github.com/jasminevale/jasminevale/internal/jvmemory"
+	"github.com/jasminevale/jasminevale/internal/jvresponse"
 	"github.com/jasminevale/jasminevale/internal/jvtarget"
 	"github.com/jasminevale/jasminevale/internal/jvtimer"
 )
@@ -66,7 +67,7 @@
 
 // newHTTPClient returns a client that takes a redirect for the target's response: the router selects targets.
 func newHTTPClient(transport *http.Transport) *http.Client {
-	return &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	return &http.Client{Transport: jvresponse.NewTransport(transport), CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 }
 
 // Generate implements Targets.
