A router that answers in packets only is no witness for others

What callers would see: more than the prepaid total is used after a drill, if a holder stands still and the store turns away the three routers that know of what it has taken.

Cause: a renewal counted routers that answer in packets as having spoken. Such an answer has what the router holds itself, not what it knows of others, and the log lacks that.

Now routers that have answered in packets only, or have started anew, are apart until a statement of the process that was live before shows that the log has what it knows. While a router is silent, silent ones and those apart together may be three at most. A router that starts awaits only those whose statements are as new as the latest one by their clocks: the topic has those of routers that are long gone, too.

The line "budgets complete again" has `apart` in place of `forgetful`.

--- a/internal/jvgrant/allocator.go
+++ b/internal/jvgrant/allocator.go
@@ -134,8 +134,9 @@
 	}
 }
 
-// credit raises this router's account to its recorded holding, once others know of it. What this process has not asked for goes back: an append
-// of an earlier process took effect late, or one before the log was set back took effect after it. a.mu must be held.
+// credit raises this router's account to its recorded holding, once others know of it. What this process has not asked for
+// goes back: an append of an earlier process took effect late, or one before the log was set back took effect after it.
+// a.mu must be held.
 func (a *Allocator) credit(workspace string, h Holding) {
 	account := a.escrow.Account(workspace)
 	if excess := h.Granted - max(account.Granted, a.issued[workspace]); excess > 0 {
--- a/internal/jvgrant/fleet_view.go
+++ b/internal/jvgrant/fleet_view.go
@@ -40,6 +40,15 @@
 	return h, ok
 }
 
+// newestClock returns the latest wall clock in routers' statements.
+func (f *FleetView) newestClock() time.Time {
+	newest := int64(0)
+	for _, s := range f.statements {
+		newest = max(newest, s.ClockUnixMilli)
+	}
+	return time.UnixMilli(newest)
+}
+
 // RoutersSeen returns the number of routers whose statements have changed since a time.
 func (f *FleetView) RoutersSeen(since time.Time) int {
 	n := 0
--- a/internal/jvgrant/fuzz_test.go
+++ b/internal/jvgrant/fuzz_test.go
@@ -15,7 +15,11 @@
 	f.Add("r1\nw", []byte("\x82\x1b\x7f\xff\xff\xff\xff\xff\xff\xff\x3b\x7f\xff\xff\xff\xff\xff\xff\xff"))
 	f.Add("\n", []byte(strings.Repeat("\x81", 50_000)+"\x00"))
 	f.Add("", []byte("\x9b\xff\xff\xff\xff\xff\xff\xff\xff"))
+	f.Add("r1", message{Router: "r1", Kind: messageTaken, Held: []heldRow{{Workspace: "w", Granted: 5, Returned: 3}}}.parts()[0])
 	f.Fuzz(func(t *testing.T, key string, value []byte) {
+		if m, err := decodeGrantMessage(value); err == nil && (len(m.Held) > maxHeldRows || m.Part >= m.Parts) {
+			t.Fatalf("%d rows, part %d of %d", len(m.Held), m.Part, m.Parts)
+		}
 		r := jvkeyed.Record{Key: key, Value: value}
 		if router, workspace, h, err := decodeHolding(r); err == nil {
 			_ = h.Net()
--- a/internal/jvgrant/message.go
+++ b/internal/jvgrant/message.go
@@ -163,6 +163,7 @@
 	awaited.parts[m.Part] = true
 	if len(awaited.parts) >= m.Parts {
 		delete(r.awaited, m.Router)
+		r.apart[m.Router] = true
 		a.options.Logger.Info("holdings heard", "router", m.Router, "era", a.era, "parts", m.Parts)
 	}
 }
--- a/internal/jvgrant/renewal.go
+++ b/internal/jvgrant/renewal.go
@@ -23,9 +23,12 @@
 	partitions map[int]bool
 	// awaited are the routers of which nothing has been heard since.
 	awaited map[string]awaitedRouter
-	// forgetful is the number of routers that have started anew, and may have been the witnesses of a taking.
-	forgetful int
-	// tolerated is how many routers may be silent or forgetful: the number of witnesses that each taking has.
+	// processes are those of the statements before, of the routers that were awaited at first.
+	processes map[string]int64
+	// apart are the routers whose knowledge of others' takings the log lacks: they have started anew, or have said in
+	// packets only what they hold themselves.
+	apart map[string]bool
+	// tolerated is how many routers may be silent or apart: the number of witnesses that each taking has.
 	tolerated int
 	// statements are the awaited routers' last statements before that the log lacks.
 	statements map[string]Statement
@@ -92,13 +95,21 @@
 // beginRenewal begins a renewal; started is true if this process has just started. a.mu must be held.
 func (a *Allocator) beginRenewal(started bool) {
 	now := a.options.Timer.Now()
-	r := &renewal{noticedAt: now, partitions: map[int]bool{}, awaited: map[string]awaitedRouter{}, statements: map[string]Statement{}}
+	r := &renewal{
+		noticedAt: now, partitions: map[int]bool{}, awaited: map[string]awaitedRouter{}, apart: map[string]bool{},
+		processes: map[string]int64{}, statements: map[string]Statement{},
+	}
 	if started {
-		r.forgetful = 1
+		r.apart[a.options.Router] = true
 	}
+	newest := a.fleet.newestClock()
 	for router, s := range a.fleet.statements {
 		o, named := s.origin()
-		if router == a.options.Router || now.Sub(a.fleet.lastSeen[router]) >= livenessTimeout {
+		silence := now.Sub(a.fleet.lastSeen[router])
+		if started { // All statements have just been read, those of routers that are long gone, too.
+			silence = newest.Sub(time.UnixMilli(s.ClockUnixMilli)) - maxClockSetback
+		}
+		if router == a.options.Router || silence >= livenessTimeout {
 			continue
 		}
 		if named && r.tolerated < maxWitnesses {
@@ -106,6 +117,7 @@
 		}
 		if !named || o.era != a.era {
 			r.awaited[router] = awaitedRouter{epoch: s.Epoch, process: o.process}
+			r.processes[router] = o.process
 		}
 	}
 	if a.renewal != nil { // Set back twice: what the first copy lacked, the second one may lack too.
@@ -114,22 +126,25 @@
 	a.renewal = r
 }
 
-// hear removes a router from those that are awaited if its statement shows that the log has again what it knows.
+// hear removes a router from those that are awaited or apart if its statement shows that the log has again what it knows.
 func (r *renewal) hear(router string, s Statement, era uint64) {
 	before, awaited := r.awaited[router]
 	o, named := s.origin()
-	if !awaited || named && o.era != era || !named && s.Epoch <= before.epoch {
+	if named && o.era != era || !named && (!awaited || s.Epoch <= before.epoch) {
 		return
 	}
+	if awaited {
+		delete(r.statements, router)
+	}
 	delete(r.awaited, router)
-	delete(r.statements, router)
-	if named && before.process != 0 && o.process != before.process {
-		r.forgetful++
+	delete(r.apart, router)
+	if process := r.processes[router]; process != 0 && named && o.process != process {
+		r.apart[router] = true
 	}
 }
 
-// isComplete reports whether the log has all holdings whose tokens may be spent: each is known to as many routers as may be
-// silent or have started anew.
+// isComplete reports whether the log has all holdings whose tokens may be spent: those of all routers that were live, or of
+// all but a few. A silent holder and its witnesses would be more than may be silent or apart.
 func (r *renewal) isComplete(age, limit time.Duration) bool {
 	silent := 0
 	for _, awaited := range r.awaited {
@@ -137,7 +152,7 @@
 			silent++
 		}
 	}
-	return len(r.awaited) == 0 || age >= limit && (silent == 0 || silent+r.forgetful <= r.tolerated)
+	return len(r.awaited) == 0 || age >= limit && (silent == 0 || silent+len(r.apart) <= r.tolerated)
 }
 
 // countSilent counts what silent routers can have spent by their last statements as held by them; a.mu must be held.
@@ -320,7 +335,7 @@
 	case r.abandoned, complete && (len(r.statements) == 0 || age >= limit):
 		r.over = true
 		a.options.Logger.Info("budgets complete again", "era", a.era, "after", age.String(), "silent", slices.Sorted(maps.Keys(r.awaited)),
-			"forgetful", r.forgetful, "abandoned", r.abandoned)
+			"apart", len(r.apart), "abandoned", r.abandoned)
 	case (complete || age >= limit/2) && len(r.statements) > 0:
 		a.mu.Unlock()
 		a.recordStatements(ctx)
--- a/internal/jvgrant/renewal_test.go
+++ b/internal/jvgrant/renewal_test.go
@@ -28,6 +28,7 @@
 	drillFrozen  drill = "a router takes tokens, and stands still at once"
 	drillSilent  drill = "a router takes tokens, and it and one more are cut off from all others at once"
 	drillMany    drill = "a router takes tokens, and it and all that know of it stand still at once"
+	drillHeard   drill = "a router takes tokens, and stands still at once, and the log turns all away that know of it"
 	drillLossy   drill = "a router takes tokens while messages are lost, and is cut off from all others at once"
 )
 
@@ -100,7 +101,7 @@
 		case drillCut:
 			last.setResult(callUnreachable)
 			busy(read, 300)
-		case drillTaken, drillFrozen, drillSilent, drillMany, drillLossy:
+		case drillTaken, drillFrozen, drillSilent, drillMany, drillHeard, drillLossy:
 			if d == drillLossy {
 				h.lost = 0.4
 			}
@@ -148,16 +149,16 @@
 
 // takeAndSilence lets a router take tokens, and silences it and others before they read the log.
 func (h *history) takeAndSilence(d drill, last *node) {
-	h.nodes[0].mute = d == drillMany // All witnesses are among those that stand still.
+	h.nodes[0].mute = d == drillMany || d == drillHeard // All witnesses are silenced.
 	for tries, before := 0, len(h.grants.records); tries < 20 && len(h.grants.records) == before; tries++ {
 		h.reserve(last, 3000)
 	}
 	h.nodes[0].mute = false
-	silenced := map[drill]int{drillTaken: 1, drillFrozen: 1, drillSilent: 2, drillMany: 4, drillLossy: 1}[d]
+	silenced := map[drill]int{drillTaken: 1, drillFrozen: 1, drillSilent: 2, drillMany: 4, drillHeard: 4, drillLossy: 1}[d]
 	for _, o := range h.nodes[testRouters-silenced:] {
 		o.setResult(callUnreachable)
-		o.mute = d != drillTaken
-		o.frozen = d == drillFrozen || d == drillMany
+		o.mute = d != drillTaken && d != drillHeard
+		o.frozen = d == drillFrozen || d == drillMany || d == drillHeard && o == last
 	}
 }
 
@@ -198,7 +199,7 @@
 // TestSetBackLogKeepsPrepaid guards against tokens that are used twice: holdings and statements that the log loses when it
 // comes back from an earlier copy of itself have to be recorded again before anyone takes what they make up.
 func TestSetBackLogKeepsPrepaid(t *testing.T) {
-	for _, d := range []drill{drillAlone, drillTwice, drillKill, drillCut, drillStarter, drillLate, drillKillAll, drillTaken, drillFrozen, drillSilent, drillMany, drillLossy} {
+	for _, d := range []drill{drillAlone, drillTwice, drillKill, drillCut, drillStarter, drillLate, drillKillAll, drillTaken, drillFrozen, drillSilent, drillMany, drillHeard, drillLossy} {
 		for name, small := range map[string]int{"small": testSmallFleet, "large": testLargeFleet} {
 			t.Run(string(d)+"/"+name, func(t *testing.T) {
 				jvproperty.CheckFraction(t, 200, func(r *rapid.T) {
