--- a/internal/jvversion/versions_test.go
+++ b/internal/jvversion/versions_test.go
@@ -94,6 +94,7 @@
 		f.pass(time.Second)
 		s := stream{request: strings.Repeat("r", 4000)}
 		f.routers[0].Begin(s.request, Origin{Pool: pool, Version: "v2"})
+		f.pass(2 * messageDelay) // A caller can't be back before the origin has arrived.
 		f.kill(f.routers[0])
 		require.Equal(t, "v2", f.resume(f.routers[1], s))
 	})
