--- a/internal/jvgrant/message.go
+++ b/internal/jvgrant/message.go
@@ -11,10 +11,10 @@
 type messageKind string
 
 const (
-	// messageTaken says what the sender holds with tokens that it has just taken; messageSeen answers that its sender knows.
+	// messageTaken has the sender's holdings with tokens that it has just taken; messageSeen acknowledges them.
 	messageTaken messageKind = "taken"
 	messageSeen  messageKind = "seen"
-	// messageAsk asks for all that a router holds, which messageHeld says.
+	// messageAsk asks for all holdings of a router, messageHeld has them.
 	messageAsk  messageKind = "ask"
 	messageHeld messageKind = "held"
 )
--- a/internal/jvgrant/statement.go
+++ b/internal/jvgrant/statement.go
@@ -78,7 +78,7 @@
 	return s.Epoch > other.Epoch || s.Epoch == other.Epoch && s.UptimeNanos > other.UptimeNanos
 }
 
-// origin is what a statement says of the process that published it.
+// origin identifies the process that published a statement, and what it had read by then.
 type origin struct {
 	// era is the log's era by then.
 	era uint64
--- a/internal/jvgrant/witness.go
+++ b/internal/jvgrant/witness.go
@@ -37,7 +37,27 @@
 )
 
 // neededWitnesses returns how many other routers must know of tokens before they are spent; a.mu must be held.
-func (a *Allocator) neededWitnesses() int { return min(maxWitnesses, len(a.possibleWitnesses())) }
+func (a *Allocator) neededWitnesses() int {
+	if a.options.Others == nil {
+		return 0
+	}
+	n := 0
+	for _, m := range a.options.Others() {
+		if a.answersMessages(m) {
+			n++
+		}
+		if n == maxWitnesses {
+			break
+		}
+	}
+	return n
+}
+
+// answersMessages reports whether a router is live and of a release that answers messages; a.mu must be held.
+func (a *Allocator) answersMessages(m jvmember.Member) bool {
+	_, answers := a.fleet.statements[m.Name].origin()
+	return answers && a.options.Timer.Since(a.fleet.lastSeen[m.Name]) < livenessTimeout
+}
 
 // possibleWitnesses returns the live routers that answer messages, in the order in which they are asked: one of each zone, then
 // the next of each. a.mu must be held.
@@ -45,11 +65,10 @@
 	if a.options.Others == nil {
 		return nil
 	}
-	now := a.options.Timer.Now()
 	ranks := map[string]uint32{}
 	zones := map[string][]jvmember.Member{}
 	for _, m := range a.options.Others() {
-		if _, answers := a.fleet.statements[m.Name].origin(); !answers || now.Sub(a.fleet.lastSeen[m.Name]) >= livenessTimeout {
+		if !a.answersMessages(m) {
 			continue
 		}
 		rank := fnv.New32a()
@@ -127,7 +146,7 @@
 	clear(a.takings)
 }
 
-// awaitWitnesses tells other routers of this router's takings, and waits until enough have answered or for
+// awaitWitnesses sends this router's takings to others, and waits until enough have answered or for
 // maxWitnessSends * witnessInterval. The next round goes on with the rest.
 func (a *Allocator) awaitWitnesses(ctx context.Context) {
 	select {
--- a/internal/jvversion/find.go
+++ b/internal/jvversion/find.go
@@ -19,7 +19,7 @@
 )
 
 // Find returns where the stream of a request began whose route uses some pools. It asks other routers if this
-// one was not told, for maxSends * resendInterval at most. What somebody was told goes before what follows from the
+// one has no record, for maxSends * resendInterval at most. A recorded origin goes before what follows from the
 // versions of the pools, since a router may not know yet of a version that has just appeared.
 func (v *Versions) Find(ctx context.Context, pools []string, request string) (Origin, Source) {
 	request = shortRequest(request)
@@ -91,8 +91,8 @@
 	delete(v.questions, number)
 }
 
-// ask sends the question to the routers that have not answered, and waits until one of them was told the origin,
-// all have answered, or it is time to send the question again.
+// ask sends the question to the routers that have not answered, and waits until one of them has a record of the
+// origin, all have answered, or it is time to send the question again.
 func (s *search) ask(ctx context.Context, asked []jvmember.Member) (Origin, bool) {
 	v := s.versions
 	missing := 0
--- a/internal/jvversion/message.go
+++ b/internal/jvversion/message.go
@@ -12,7 +12,7 @@
 	Answer   *answer   `cbor:"answer,omitempty"`
 }
 
-// begun says where a stream began.
+// begun is the origin of a stream.
 type begun struct {
 	Request string `cbor:"request"`
 	Origin
@@ -33,7 +33,7 @@
 	From string `cbor:"from"`
 	// Known is true if the router knows the origin.
 	Known bool `cbor:"known"`
-	// Inferred is true if nobody told the router, and the pools have had one version only. Builds that don't know
+	// Inferred is true if the router has no record, and the pools have had one version only. Builds that don't know
 	// the field never set it.
 	Inferred bool `cbor:"inferred,omitempty"`
 	Origin
