An outdated entry shows a version only for the process it is of

Cause: a router bound a stream to the version in its target's entry, also while the list of targets was out of date and the process might be a later one. Only routers that had seen a refused connection knew better. The same held for the target that takes a stream over, and for streams that callers resume, whose version was not compared at all once a target was selected.

Until an entry is written again after an outage, or 6 s after it, it counts for processes that ran when the list was last read. For others the version is unknown: the stream goes on nowhere else, and a resumption is refused at once with that reason. Other routers that make an attempt decide this, and name no version then.

--- a/internal/jvrelay/attempt.go
+++ b/internal/jvrelay/attempt.go
@@ -137,6 +137,9 @@
 	if err := response.failure(); err != nil {
 		return err
 	}
+	if a.via == "" && !r.hasCertainVersion(a, response) {
+		a.version = ""
+	}
 	a.framing = response.End
 	return r.forwardSigned(ctx, a, response, stall)
 }
--- a/internal/jvrelay/version_test.go
+++ b/internal/jvrelay/version_test.go
@@ -163,6 +163,67 @@
 	})
 }
 
+// TestOutdatedEntryShowsNoVersion guards against a stream that is bound to the version of a process that has ended (ORDER,
+// review/9): while the list of targets is out of date, a target starts again at another version.
+func TestOutdatedEntryShowsNoVersion(t *testing.T) {
+	const (
+		continued = "200 length -1: id: 1|data: a||id: 2|data: b||id: 3|data: c||"
+		cut       = "200 length -1: id: 1|data: a||... cut"
+	)
+	synctest.Test(t, func(t *testing.T) {
+		var current atomic.Bool
+		current.Store(true)
+		readAt := time.Now()
+		s := newFixtureWith(t, func(o *Options) {
+			o.TargetsCurrent, o.TargetsReadAt = current.Load, func() time.Time { return readAt }
+			o.RetryShare, o.MaxSavedRetries = 2, 20
+		})
+		s.budgets.left = 100_000
+		n := 0
+		expect := func(want string, begins, continues time.Time) {
+			t.Helper()
+			n++
+			s.sender.scripts = []script{{status: 200, body: events1, cut: true, since: begins}, {status: 200, body: events23, since: continues}}
+			require.Equal(t, want, s.serve(t.Context(), t, "stream", func(q *Request) { q.ID = fmt.Sprint("r", n) }))
+			if want == cut && begins.After(readAt) {
+				require.Empty(t, s.versions.begun[fmt.Sprint("r", n)].Version)
+			}
+		}
+		old := readAt.Add(-time.Second)
+		expect(continued, time.Time{}, time.Time{})
+		time.Sleep(2 * time.Second)
+		current.Store(false)
+		begun := time.Now()
+		expect(cut, time.Time{}, old)
+		expect(cut, begun, old)
+		expect(cut, old, begun)
+		expect(continued, old, readAt)
+		s.versions.byRequest["r0"] = jvversion.Origin{Pool: "p", Version: "v1"}
+		s.sender.scripts = []script{{status: 200, body: events23, since: begun}, {status: 200, body: events23, since: old}}
+		require.Equal(t, "200 length -1: id: 2|data: b||id: 3|data: c||", s.serve(t.Context(), t, "stream", func(q *Request) { q.Resumes, q.LastEventID = "r0", "1" }))
+		require.Empty(t, s.sender.scripts, "the first target is not certain")
+		entries := map[string]*Entry{}
+		for id, e := range s.relay.Registry().Entries() {
+			entries[id] = &e
+		}
+		s.relay.Registry().Update(entries, false) // Records of before the list was read again.
+		current.Store(true)
+		s.relay.Registry().Update(entries, true)
+		expect(cut, begun, old)
+		s.relay.Registry().Update(entries, false)
+		expect(continued, begun, begun)
+		current.Store(false)
+		time.Sleep(time.Second)
+		current.Store(true)
+		time.Sleep(verifyTime / 2)
+		expect(cut, time.Now(), old)
+		time.Sleep(verifyTime)
+		expect(continued, time.Now(), time.Now())
+		s.versions.byRequest["r0"] = jvversion.Origin{Pool: "p"}
+		require.Equal(t, "refused 503 version, retry after 300ms", s.serve(t.Context(), t, "stream", func(q *Request) { q.Resumes, q.LastEventID = "r0", "1" }))
+	})
+}
+
 // slotAvoiding returns a request for a slot of a target that is not among those to avoid.
 func slotAvoiding(avoid ...string) jvtarget.Request {
 	return jvtarget.Request{Pool: "p", Attempt: "a", Avoid: avoid, Deadline: time.Now().Add(time.Hour)}
