A target whose version is not certain has not failed

A resumed stream that meets such a target gets KindUncertain in place of KindCrossed, which paused the target; a healthy one would have been paused for the store's outage. Only streams are checked, so plain responses write no line. The new assertion of TestOutdatedEntryShowsNoVersion fails with KindCrossed.

--- a/internal/jvrelay/attempt.go
+++ b/internal/jvrelay/attempt.go
@@ -9,6 +9,7 @@
 
 	"github.com/jasminevale/jasminevale/internal/jvfault"
 	"github.com/jasminevale/jasminevale/internal/jvreach"
+	"github.com/jasminevale/jasminevale/internal/jvroute"
 	"github.com/jasminevale/jasminevale/internal/jvtarget"
 )
 
@@ -137,7 +138,7 @@
 	if err := response.failure(); err != nil {
 		return err
 	}
-	if a.via == "" && !r.hasCertainVersion(a, response) {
+	if a.via == "" && a.route.Kind == jvroute.KindStream && !r.hasCertainVersion(a, response) {
 		a.version = ""
 	}
 	a.framing = response.End
--- a/internal/jvrelay/peer.go
+++ b/internal/jvrelay/peer.go
@@ -53,7 +53,7 @@
 		return nil, err
 	}
 	response.Target = lease.Target
-	if !r.hasCertainVersion(a, response) {
+	if response.isStream() && !r.hasCertainVersion(a, response) {
 		response.Target.Version = ""
 	}
 	response.StartedAtMillis = a.targetStartedAt
--- a/internal/jvrelay/splice.go
+++ b/internal/jvrelay/splice.go
@@ -12,6 +12,8 @@
 func (a *activeRequest) checkContinues(response *Response) error {
 	const op = "continue stream"
 	switch {
+	case a.bound && response.isStream() && a.version == "":
+		return jvfault.Newf(op, KindUncertain, "the target's version is not known")
 	case a.bound && response.isStream() && a.version != a.origin.Version:
 		return jvfault.Newf(op, KindCrossed, "the target has the version %q, not %q", a.version, a.origin.Version)
 	case !a.headersSent:
--- a/internal/jvrelay/version_test.go
+++ b/internal/jvrelay/version_test.go
@@ -199,9 +199,12 @@
 		expect(cut, old, begun)
 		expect(continued, old, readAt)
 		s.versions.byRequest["r0"] = jvversion.Origin{Pool: "p", Version: "v1"}
+		time.Sleep(20 * time.Second)
+		paused := s.relay.targets.CountPaused()
 		s.sender.scripts = []script{{status: 200, body: events23, since: begun}, {status: 200, body: events23, since: old}}
 		require.Equal(t, "200 length -1: id: 2|data: b||id: 3|data: c||", s.serve(t.Context(), t, "stream", func(q *Request) { q.Resumes, q.LastEventID = "r0", "1" }))
 		require.Empty(t, s.sender.scripts, "the first target is not certain")
+		require.Equal(t, paused, s.relay.targets.CountPaused(), "it has not failed")
 		entries := map[string]*Entry{}
 		for id, e := range s.relay.Registry().Entries() {
 			entries[id] = &e
