--- a/internal/jvprocess/log.go
+++ b/internal/jvprocess/connections.go
@@ -14,9 +14,9 @@
 // keepTime is how long a server without open connections is kept.
 const keepTime = time.Minute
 
-// Log holds the connections to servers by address. Of two connections to an address, one that received data after the other
-// one was opened is to the same process. It is safe for concurrent use.
-type Log struct {
+// Connections holds the connections to servers by address. Of two connections to an address, one that received data after the
+// other one was opened is to the same process. It is safe for concurrent use.
+type Connections struct {
 	timer *jvtimer.Service
 
 	mu       sync.Mutex
@@ -36,21 +36,21 @@
 	from, to time.Time
 }
 
-// NewLog returns a log without connections.
-func NewLog(timer *jvtimer.Service) *Log {
-	return &Log{timer: timer, servers: map[string]*server{}, prunedAt: timer.Now()}
+// NewConnections returns Connections without any.
+func NewConnections(timer *jvtimer.Service) *Connections {
+	return &Connections{timer: timer, servers: map[string]*server{}, prunedAt: timer.Now()}
 }
 
-// Connection is an entry of a Log. It is safe for concurrent use.
+// Connection is one of Connections. It is safe for concurrent use.
 type Connection struct {
-	log      *Log
+	all      *Connections
 	address  string
 	raw      *net.TCPConn
 	openedAt time.Time
 }
 
 // Opened records a connection to a server that was just opened. For any but a TCP connection only the time counts.
-func (l *Log) Opened(address string, c net.Conn) *Connection {
+func (all *Connections) Opened(address string, c net.Conn) *Connection {
 	for {
 		inner, ok := c.(interface{ NetConn() net.Conn })
 		if !ok {
@@ -59,38 +59,38 @@
 		c = inner.NetConn()
 	}
 	raw, _ := c.(*net.TCPConn)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := l.timer.Now()
-	l.prune(now)
-	s := l.servers[address]
+	all.mu.Lock()
+	defer all.mu.Unlock()
+	now := all.timer.Now()
+	all.prune(now)
+	s := all.servers[address]
 	if s == nil {
 		s = &server{open: map[*Connection]bool{}}
-		l.servers[address] = s
+		all.servers[address] = s
 	}
-	n := &Connection{log: l, address: address, raw: raw, openedAt: now}
+	n := &Connection{all: all, address: address, raw: raw, openedAt: now}
 	s.open[n] = true
 	return n
 }
 
-// prune drops servers without open connections; l.mu must be held.
-func (l *Log) prune(now time.Time) {
-	if now.Sub(l.prunedAt) < keepTime {
+// prune drops servers without open connections; all.mu must be held.
+func (all *Connections) prune(now time.Time) {
+	if now.Sub(all.prunedAt) < keepTime {
 		return
 	}
-	l.prunedAt = now
-	for address, s := range l.servers {
+	all.prunedAt = now
+	for address, s := range all.servers {
 		if len(s.open) == 0 && now.Sub(s.closed.to) >= keepTime {
-			delete(l.servers, address)
+			delete(all.servers, address)
 		}
 	}
 }
 
-// Close ends the entry. It must be called before the connection is closed, and may be called again.
+// Close removes the connection. It must be called before the connection is closed, and may be called again.
 func (c *Connection) Close() {
-	c.log.mu.Lock()
-	defer c.log.mu.Unlock()
-	s := c.log.servers[c.address]
+	c.all.mu.Lock()
+	defer c.all.mu.Unlock()
+	s := c.all.servers[c.address]
 	if s == nil || !s.open[c] {
 		return
 	}
@@ -111,10 +111,10 @@
 
 // Since returns a time at which the process ran that the connection was opened to: the earliest that connections show.
 func (c *Connection) Since() time.Time {
-	c.log.mu.Lock()
-	defer c.log.mu.Unlock()
+	c.all.mu.Lock()
+	defer c.all.mu.Unlock()
 	since := c.openedAt
-	s := c.log.servers[c.address]
+	s := c.all.servers[c.address]
 	if s == nil {
 		return since
 	}
@@ -124,6 +124,7 @@
 			spans = append(spans, o.span())
 		}
 	}
+	// A span that begins later than another one can only make that one overlap.
 	slices.SortFunc(spans, func(x, y span) int { return y.from.Compare(x.from) })
 	for _, x := range spans {
 		if x.from.Before(since) && !x.to.Before(since) {
@@ -148,7 +149,7 @@
 		if err != nil {
 			return
 		}
-		received := c.log.timer.Now().Add(-time.Duration(info.Last_data_recv)*time.Millisecond - clockTick)
+		received := c.all.timer.Now().Add(-time.Duration(info.Last_data_recv)*time.Millisecond - clockTick)
 		if received.After(own.to) {
 			own.to = received
 		}
--- a/internal/jvprocess/log_test.go
+++ b/internal/jvprocess/connections_test.go
@@ -18,13 +18,13 @@
 	t.Cleanup(func() { _ = listener.Close() })
 	timer := jvtimer.NewService()
 	t.Cleanup(timer.Close)
-	log := NewLog(timer)
+	all := NewConnections(timer)
 	open := func() (*Connection, func(), func()) {
 		client, err := net.Dial("tcp", listener.Addr().String())
 		require.NoError(t, err)
 		server, err := listener.Accept()
 		require.NoError(t, err)
-		c := log.Opened("a", client)
+		c := all.Opened("a", client)
 		time.Sleep(pause)
 		receive := func() {
 			_, _ = server.Write([]byte{1})
--- a/internal/jvrelay/registry.go
+++ b/internal/jvrelay/registry.go
@@ -42,9 +42,9 @@
 	// no change of their entry could have been missed. Their version is not known: they may have started
 	// again with another one.
 	unverified map[string]time.Time
-	// outdated are the targets whose entries may be those of processes that have ended, with the time of the last read at
-	// which they were not: the list of targets was out of date, and they have not been written since. currentSince is since
-	// when it is up to date again, or zero while it is not.
+	// outdated are the targets whose entries may be of processes that have ended since, with the time at which the list of
+	// targets was last up to date before: it was not for some time, and they have not been written again. currentSince is
+	// since when the list is up to date, or zero while it is not.
 	outdated     map[string]time.Time
 	currentSince time.Time
 	// graceEnd is when the current grace period ends.
--- a/internal/jvresponse/transport.go
+++ b/internal/jvresponse/transport.go
@@ -23,7 +23,8 @@
 func NewTransport(base http.RoundTripper) *Transport { return &Transport{base: base} }
 
 // RoundTrip implements http.RoundTripper. The error is an *Error of KindMalformed if the head of the response, or that of an
-// informational one before it, has an invalid name, or if the status is below 100; reading the body returns such an error at its end for the trailer.
+// informational one before it, has an invalid name, or if the status is below 100; reading the body returns such an error at its
+// end for the trailer.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	trace := &httptrace.ClientTrace{Got1xxResponse: func(_ int, header textproto.MIMEHeader) error {
 		return checkFields("informational response", http.Header(header))
