Revert "An outdated entry shows a version only for the process it is of"

They are not ready:

- After an outage entries stay uncertain for all of the 6 s, not until the next heartbeat: records seem to be applied while the list still counts as out of date.

Next: confirm entries with the first record that is written after the outage, one log line for each target and outage, and some routers of a zone that keep a connection to each server and answer for the others.

--- a/internal/jvlink/conn.go
+++ b/internal/jvlink/conn.go
@@ -8,9 +8,6 @@
 	link *Link
 }
 
-// NetConn returns the connection below.
-func (c *conn) NetConn() net.Conn { return c.Conn }
-
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/internal/jvrelay/attempt.go
+++ b/internal/jvrelay/attempt.go
@@ -9,7 +9,6 @@
 
 	"github.com/jasminevale/jasminevale/internal/jvfault"
 	"github.com/jasminevale/jasminevale/internal/jvreach"
-	"github.com/jasminevale/jasminevale/internal/jvroute"
 	"github.com/jasminevale/jasminevale/internal/jvtarget"
 )
 
@@ -138,9 +137,6 @@
 	if err := response.failure(); err != nil {
 		return err
 	}
-	if a.via == "" && a.route.Kind == jvroute.KindStream && !r.hasCertainVersion(a, response) {
-		a.version = ""
-	}
 	a.framing = response.End
 	return r.forwardSigned(ctx, a, response, stall)
 }
--- a/internal/jvrelay/error.go
+++ b/internal/jvrelay/error.go
@@ -17,8 +17,6 @@
 	KindRefused Kind = "refused"
 	// KindUnproven means that the target may have refused the attempt, or an earlier one.
 	KindUnproven Kind = "unproven"
-	// KindUncertain means that the target's version is not known, and the caller's stream has begun at one that is.
-	KindUncertain Kind = "uncertain"
 	// KindFailed means that the target ran the attempt and responded with a failure.
 	KindFailed Kind = "failed"
 	// KindBroken means that the attempt may have run and no complete response arrived.
--- a/internal/jvrelay/fake_test.go
+++ b/internal/jvrelay/fake_test.go
@@ -58,8 +58,6 @@
 	dark  bool
 	// delay is how long the target takes to respond.
 	delay time.Duration
-	// since is since when connections show the target's process, or zero if nothing does.
-	since time.Time
 }
 
 // scriptSender runs the next script for each attempt and records what was sent.
@@ -113,12 +111,8 @@
 	if c.figure > 0 {
 		load = &jvtarget.Load{Figure: c.figure, ReportedAt: time.Now()}
 	}
-	var processSince func() time.Time
-	if !c.since.IsZero() {
-		processSince = func() time.Time { return c.since }
-	}
 	return &Response{
-		ProcessSince: processSince, Load: load, Status: c.status, Header: http.Header{}, Body: io.NopCloser(&scriptBody{ctx: ctx, rest: c.body, script: c}),
+		Load: load, Status: c.status, Header: http.Header{}, Body: io.NopCloser(&scriptBody{ctx: ctx, rest: c.body, script: c}),
 		Refused: c.refused || c.wrongInstance, WrongInstance: c.wrongInstance, Signed: !c.unsigned, End: endOf(c.unframed),
 		Limit: c.limit, NamesLimit: c.limit != nil || c.namesLimit, Unidentified: c.unidentified, Leaving: c.leaving, RetryAfter: c.retryAfter,
 	}, nil
--- a/internal/jvrelay/options.go
+++ b/internal/jvrelay/options.go
@@ -92,8 +92,6 @@
 	Forwarder Forwarder
 	// TargetsCurrent reports whether the list of targets is up to date.
 	TargetsCurrent func() bool
-	// TargetsReadAt returns when the list of targets was last read.
-	TargetsReadAt func() time.Time
 	// AnnounceLeaving announces to the other routers that a target leaves.
 	AnnounceLeaving func(p jvsign.Process)
 	// LateDrain is how long after a target was seen to leave it still gets streams that can go on nowhere
@@ -144,7 +142,6 @@
 		Congested:        func() bool { return false },
 		AdmitLink:        func(string, int64) (time.Duration, bool) { return 0, true },
 		TargetsCurrent:   func() bool { return true },
-		TargetsReadAt:    func() time.Time { return time.Time{} },
 		AnnounceLeaving:  func(jvsign.Process) {},
 		CountRouters:     func() (int, bool) { return 1, true },
 		Meter:            jvmeter.NewRelay(),
--- a/internal/jvrelay/peer.go
+++ b/internal/jvrelay/peer.go
@@ -53,9 +53,6 @@
 		return nil, err
 	}
 	response.Target = lease.Target
-	if response.isStream() && !r.hasCertainVersion(a, response) {
-		response.Target.Version = ""
-	}
 	response.StartedAtMillis = a.targetStartedAt
 	failure := response.failure()
 	response.Body = &peerBody{ReadCloser: response.Body, request: a, end: func(err error) {
--- a/internal/jvrelay/registry.go
+++ b/internal/jvrelay/registry.go
@@ -22,7 +22,6 @@
 	limits         Limits
 	versions       Versions
 	targetsCurrent func() bool
-	targetsReadAt  func() time.Time
 	reconnectGrace time.Duration
 	removedGrace   time.Duration
 
@@ -42,11 +41,6 @@
 	// no change of their entry could have been missed. Their version is not known: they may have started
 	// again with another one.
 	unverified map[string]time.Time
-	// outdated are the targets whose entries may be of processes that have ended since, with the time at which the list of
-	// targets was last up to date before: it was not for some time, and they have not been written again. currentSince is
-	// since when the list is up to date, or zero while it is not.
-	outdated     map[string]time.Time
-	currentSince time.Time
 	// graceEnd is when the current grace period ends.
 	graceEnd time.Time
 	loaded   bool
@@ -76,7 +70,6 @@
 		limits:         o.Limits,
 		versions:       o.Versions,
 		targetsCurrent: o.TargetsCurrent,
-		targetsReadAt:  o.TargetsReadAt,
 		reconnectGrace: o.ReconnectGrace,
 		removedGrace:   o.RemovedGrace,
 		entries:        map[string]Entry{},
@@ -85,8 +78,6 @@
 		gone:           map[string]removal{},
 		displaced:      map[string]bool{},
 		unverified:     map[string]time.Time{},
-		outdated:       map[string]time.Time{},
-		currentSince:   o.Timer.Now(),
 		coldRate:       coldRate,
 		coldUntil:      map[string]time.Time{},
 	}
@@ -118,7 +109,6 @@
 
 // update is Update; g.mu must be held.
 func (g *Registry) update(changes map[string]*Entry, complete bool) {
-	current := g.checkCurrent()
 	for id, e := range changes {
 		if e == nil {
 			g.remove(id, "entry removed", g.removedGrace)
@@ -138,9 +128,6 @@
 		if !complete || old != *e {                       // A listing also has entries that were written before the process ended.
 			delete(g.unverified, id)
 		}
-		if !complete && current { // While the list is out of date, earlier records are read.
-			delete(g.outdated, id)
-		}
 		if !ok || old != *e {
 			g.logger.Info("target", "target", id, "pool", e.Pool, "address", e.Target.Address, "leaving", e.Leaving, "new", !ok, "born", e.StartedAtMillis, "build", e.Target.Version)
 		}
@@ -200,7 +187,6 @@
 	delete(g.written, id)
 	delete(g.displaced, id)
 	delete(g.unverified, id)
-	delete(g.outdated, id)
 	g.warm(id)
 	g.logger.Info("target gone", "target", id, "why", reason)
 }
@@ -254,41 +240,11 @@
 // process. Entries lapse a few seconds after the last heartbeat.
 const verifyTime = 6 * time.Second
 
-// checkCurrent reports whether the list of targets is up to date, and records since when it is not; g.mu must be held.
-func (g *Registry) checkCurrent() bool {
-	if g.targetsCurrent() {
-		if g.currentSince.IsZero() {
-			g.currentSince = g.timer.Now()
-		}
-		return true
-	}
-	readAt := g.targetsReadAt()
-	for id := range g.entries {
-		if _, known := g.outdated[id]; !known {
-			g.outdated[id] = readAt
-		}
-	}
-	g.currentSince = time.Time{}
-	return false
-}
-
-// outdatedSince returns the last time at which a target's entry was certainly that of its process, and false if it is now.
-func (g *Registry) outdatedSince(id string) (time.Time, bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.checkCurrent()
-	at, outdated := g.outdated[id]
-	return at, outdated
-}
-
 // verify ends the doubt about targets whose entries did not change for long enough.
 func (g *Registry) verify() {
+	current := g.targetsCurrent()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	current := g.checkCurrent()
-	if current && g.timer.Since(g.currentSince) >= verifyTime {
-		clear(g.outdated)
-	}
 	now, changed := g.timer.Now(), false
 	for id, since := range g.unverified {
 		switch {
--- a/internal/jvrelay/sender.go
+++ b/internal/jvrelay/sender.go
@@ -84,10 +84,7 @@
 	ColdFor *time.Duration
 	// Load is the target's load report, or nil.
 	Load *jvtarget.Load
-	// ProcessSince returns a time at which the process that responds ran already, as connections show; nil if nothing does.
-	ProcessSince func() time.Time
-	// Target is the target that another router selected, without its version if that isn't certain, and StartedAtMillis the
-	// start of its process.
+	// Target is the target that another router selected, and StartedAtMillis the start of its process.
 	Target          jvconfig.Target
 	StartedAtMillis int64
 }
--- a/internal/jvrelay/splice.go
+++ b/internal/jvrelay/splice.go
@@ -7,15 +7,11 @@
 	"github.com/jasminevale/jasminevale/internal/jvfault"
 )
 
-// checkContinues returns an error if the caller's stream has begun, in this response or an earlier one, and the target's is not
-// a stream of the same version: then nothing of it may be forwarded.
+// checkContinues returns an error if the caller's response has begun and the target's is not a stream of the same
+// version: then nothing of it may be forwarded.
 func (a *activeRequest) checkContinues(response *Response) error {
 	const op = "continue stream"
 	switch {
-	case a.bound && response.isStream() && a.version == "":
-		return jvfault.Newf(op, KindUncertain, "the target's version is not known")
-	case a.bound && response.isStream() && a.version != a.origin.Version:
-		return jvfault.Newf(op, KindCrossed, "the target has the version %q, not %q", a.version, a.origin.Version)
 	case !a.headersSent:
 		return nil
 	case a.sealed:
@@ -24,8 +20,8 @@
 		return jvfault.Newf(op, KindFailed, "the target answered %d", response.Status)
 	case !response.isStream():
 		return jvfault.Newf(op, KindCrossed, "the target answered with the content type %q", response.Header.Get("Content-Type"))
-	case !a.bound:
-		return jvfault.Newf(op, KindCrossed, "the version that began the stream is not known")
+	case a.version != a.origin.Version:
+		return jvfault.Newf(op, KindCrossed, "the target has the version %q, not %q", a.version, a.origin.Version)
 	}
 	return nil
 }
--- a/internal/jvrelay/version.go
+++ b/internal/jvrelay/version.go
@@ -22,7 +22,7 @@
 	}
 	origin, source := r.options.Versions.Find(ctx, a.route.PoolNames(), q.Resumes)
 	r.options.Meter.CountResumption(a.pool, string(source))
-	if source == jvversion.SourceNone || origin.Version == "" || origin.Pool != "" && !a.route.HasPool(origin.Pool) {
+	if source == jvversion.SourceNone || origin.Pool != "" && !a.route.HasPool(origin.Pool) {
 		message := fmt.Sprintf("the version that began the stream of request %q is not known", q.Resumes)
 		a.cause = message
 		return notRun("version", message, unknownVersionRetryAfter)
@@ -34,17 +34,6 @@
 	return nil
 }
 
-// hasCertainVersion reports whether a response to a request is of the process whose version the target's entry has. While the
-// list of targets is out of date, only connections to that process show it.
-func (r *Relay) hasCertainVersion(a *activeRequest, response *Response) bool {
-	at, outdated := r.registry.outdatedSince(a.target)
-	if !outdated || response.ProcessSince != nil && !response.ProcessSince().After(at) {
-		return true
-	}
-	r.options.Logger.Info("version not certain", "request", a.request.ID, "target", a.target, "build", a.version, "entryms", r.options.Timer.Since(at).Milliseconds())
-	return false
-}
-
 // bindBegun binds a request whose caller gets the first event to the version of its target. If that isn't
 // known, no other target can continue the stream.
 func (r *Relay) bindBegun(a *activeRequest) {
--- a/internal/jvresponse/conn.go
+++ b/internal/jvresponse/conn.go
@@ -34,9 +34,6 @@
 	return &Conn{Conn: c, raw: raw}
 }
 
-// NetConn returns the connection below.
-func (c *Conn) NetConn() net.Conn { return c.Conn }
-
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.writing.RLock()
