Tokens are spent while the store is sound, whatever becomes of packets

Callers saw: 503 `budget` for every request while packets between routers were late or lost, though the store was sound and the budget full.

Cause: a taking was replaced by a new one without witnesses whenever the holding grew. It grew in each round, since nextHolding planned with the account's tokens only and took again what was already taken. So no acknowledgment that took longer than a round, and no statement, ever covered the taking. A credited taking was returned at once, as the excess of what waited. And a router that had read a statement published none of its own unless something else made one due.

Now up to two takings of a budget wait: the first stays as it is, the second grows. What is taken counts in the plan, and only what may be spent is returned. A statement names the routers that it asks to be witnesses, more each time; these publish a statement once they have read it. Spend stays at most prepaid: tokens are credited for as many witnesses as before.

Ruled out: the number of witnesses, the era, the store's rates.

--- a/internal/jvgrant/allocator.go
+++ b/internal/jvgrant/allocator.go
@@ -44,10 +44,12 @@
 	renewal *renewal
 	// issued is the most that this process has asked for of each budget, in all: a record with more is not credited.
 	issued map[string]int64
-	// takings are the tokens that this router has taken and does not spend yet, by workspace; witnessed gets an element
-	// when none are left.
-	takings   map[string]*taking
+	// takings are the tokens that this router has taken and does not spend yet, by workspace, each with those of the one before;
+	// witnessed gets an element when none are left.
+	takings   map[string][]*taking
 	witnessed chan struct{}
+	// statementDue is true if another router has asked for a statement of this one.
+	statementDue bool
 	// process is a random number that identifies this process.
 	process int64
 	// draw is the round's random number in [0, 1) for PolicyInput.
@@ -84,7 +86,7 @@
 		startedAt:   o.ReadClocks(),
 		roundDone:   make(chan struct{}),
 		issued:      map[string]int64{},
-		takings:     map[string]*taking{},
+		takings:     map[string][]*taking{},
 		witnessed:   make(chan struct{}, 1),
 		process:     1 + int64(o.Random()*(1<<53)),
 	}
--- a/internal/jvgrant/message.go
+++ b/internal/jvgrant/message.go
@@ -113,9 +113,7 @@
 		return answer.parts()
 	case messageSeen:
 		for _, row := range m.Held {
-			if t := a.takings[row.Workspace]; t != nil && row.Granted >= t.holding.Granted {
-				a.addWitness(row.Workspace, m.Router)
-			}
+			a.addWitness(row.Workspace, m.Router, func(t *taking) bool { return row.Granted >= t.holding.Granted })
 		}
 	case messageAsk:
 		answer.Kind = messageHeld
--- a/internal/jvgrant/publisher.go
+++ b/internal/jvgrant/publisher.go
@@ -102,6 +102,7 @@
 			return nil
 		}
 		p.pending = &next
+		a.statementDue = false
 	}
 	statement := *p.pending
 	producer := jvkeyed.Producer{Name: a.options.Router, Epoch: p.epoch, Sequence: p.sequence}
@@ -155,7 +156,8 @@
 		ClockUnixMilli: c.WallClock.UnixMilli(),
 		ReadOffset:     max(a.statements.NextOffset(), a.publisher.end),
 	}
-	due := a.publisher.published == nil || a.publisher.published.Epoch != s.Epoch || a.stateTakings() // Others wait for one of the epoch.
+	asked := a.stateTakings()
+	due := a.publisher.published == nil || a.publisher.published.Epoch != s.Epoch || asked > 0 || a.statementDue // Others wait for one of the epoch.
 	s.Rows = append(s.Rows, origin{era: a.era, readOffset: a.statements.NextOffset(), process: a.process}.row())
 	for _, w := range a.budgets() {
 		r := a.newRow(w)
@@ -167,6 +169,7 @@
 			s.Rows = append(s.Rows, holdingRow(w, h))
 		}
 	}
+	s.Rows = append(s.Rows, a.witnessRows(asked)...)
 	return s, due
 }
 
--- a/internal/jvgrant/rebalance.go
+++ b/internal/jvgrant/rebalance.go
@@ -92,7 +92,7 @@
 		h, _ := a.fleet.Holding(w, a.options.Router)
 		age := now.Sub(a.partitions[number].lastPolled)
 		switch {
-		case a.closed && in.Available > 0, account.Returned != h.Returned, a.policy.ReturnAmount(in) > 0,
+		case a.closed && in.Available > 0, account.Returned != h.Returned, a.returnAmount(w, in) > 0,
 			in.free() > 0 && a.policy.NeedsGrant(in),
 			in.Waiting > in.Available && age >= fleet.scale(urgentReadInterval),
 			a.policy.NeedsGrant(in) && age >= fleet.readInterval(a.options.ReadInterval, false):
@@ -153,7 +153,7 @@
 		return Holding{}, false
 	}
 	old, _ := a.fleet.Holding(workspace, a.options.Router)
-	give := a.policy.ReturnAmount(in)
+	give := a.returnAmount(workspace, in)
 	switch {
 	case a.closed:
 		give = in.Available
@@ -165,7 +165,7 @@
 	h := Holding{Granted: max(account.Granted, old.Granted), Returned: account.Returned}
 	take := int64(0)
 	if returning := h.Returned > old.Returned; !a.closed && a.mayTake() && (!returning || in.Waiting > 0) { // Tokens that were just returned are not taken again.
-		in.Available = account.Available()
+		in.Available = account.Available() + a.taken(workspace)
 		take = a.policy.GrantAmount(in)
 	}
 	h.Granted += take
@@ -178,6 +178,13 @@
 	return h, true
 }
 
+// returnAmount returns how much to put back into the budget, out of what this router may spend: it keeps its target of that,
+// whatever else it has taken. a.mu must be held.
+func (a *Allocator) returnAmount(workspace string, in PolicyInput) int64 {
+	in.Available = a.escrow.Account(workspace).Available()
+	return a.policy.ReturnAmount(in)
+}
+
 // policyInput returns what a decision on a budget depends on, and false where the workspace has no
 // budget; a.mu must be held.
 func (a *Allocator) policyInput(workspace string) (PolicyInput, bool) {
--- a/internal/jvgrant/renewal.go
+++ b/internal/jvgrant/renewal.go
@@ -209,6 +209,7 @@
 		}
 	}
 	a.witnessStatement(router, s)
+	a.statementDue = a.statementDue || a.restored && a.isWitness(s)
 	if r := a.renewal; r != nil && !r.over {
 		r.hear(router, s, a.era)
 		if old := a.fleet.statements[router]; old.newer(s) {
--- a/internal/jvgrant/rounds.go
+++ b/internal/jvgrant/rounds.go
@@ -97,6 +97,9 @@
 	if read {
 		_ = a.callTopic(ctx, a.readStatements) // The follower logs failures.
 	}
+	if a.isStatementDue() {
+		published = a.publishIfDue(ctx) || published
+	}
 	rebalanced := (read || waiting || a.isLeaving()) && a.peersDiscovered() && a.rebalance(ctx)
 	a.awaitWitnesses(ctx)
 	if rebalanced {
@@ -105,6 +108,13 @@
 	return published || rebalanced
 }
 
+// isStatementDue reports whether another router waits for a statement of this one.
+func (a *Allocator) isStatementDue() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.statementDue
+}
+
 // startRound waits until no other round runs, and returns false if ctx ends before.
 func (a *Allocator) startRound(ctx context.Context) bool {
 	select {
--- a/internal/jvgrant/witness.go
+++ b/internal/jvgrant/witness.go
@@ -5,6 +5,7 @@
 	"hash/fnv"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/jasminevale/jasminevale/internal/jvmember"
@@ -20,8 +21,15 @@
 	at        time.Time
 	// statedEnd is where the topic of statements ended after the first statement with the holding, or 0.
 	statedEnd uint64
+	// statements is the number of statements that asked routers to be witnesses, askedAt when the latest was published.
+	statements int
+	askedAt    time.Time
 }
 
+// maxTakings is the number of takings of a budget that wait at the same time. The first one stays as it is while requests
+// keep raising the holding, so that its witnesses are enough at some time; the last one grows.
+const maxTakings = 2
+
 const (
 	// maxWitnesses is the number of other routers that must know of tokens before they are spent. In a renewal that many
 	// routers may stay silent, the holder among them, so that at least one witness has spoken.
@@ -34,6 +42,8 @@
 	maxWitnessSends = 3
 	// stateTakingAfter is the age from which a taking makes a statement due: routers that read that are witnesses, too.
 	stateTakingAfter = 100 * time.Millisecond
+	// restateTakingAfter is the time, beside two reads of the statements, after which the next statement asks more routers.
+	restateTakingAfter = time.Second
 )
 
 // neededWitnesses returns how many other routers must know of tokens before they are spent; a.mu must be held.
@@ -101,32 +111,62 @@
 		delete(a.takings, workspace)
 		return
 	}
-	if t := a.takings[workspace]; t != nil && t.holding.Granted >= h.Granted {
-		t.holding = t.holding.Raised(h)
-		return
+	list := a.takings[workspace]
+	if len(list) > 0 {
+		last := list[len(list)-1]
+		if last.holding.Granted >= h.Granted {
+			last.holding = last.holding.Raised(h)
+			return
+		}
+		if len(list) == maxTakings {
+			list = list[:maxTakings-1]
+		}
+	}
+	a.takings[workspace] = append(list, &taking{holding: h, witnesses: map[string]bool{}, at: a.options.Timer.Now()})
+}
+
+// newestTaking returns the taking with all tokens that this router has taken of a budget and does not spend yet, or nil; a.mu
+// must be held.
+func (a *Allocator) newestTaking(workspace string) *taking {
+	list := a.takings[workspace]
+	if len(list) == 0 {
+		return nil
 	}
-	a.takings[workspace] = &taking{holding: h, witnesses: map[string]bool{}, at: a.options.Timer.Now()}
+	return list[len(list)-1]
 }
 
 // taken returns the tokens that this router has taken and does not spend yet; a.mu must be held.
 func (a *Allocator) taken(workspace string) int64 {
-	t := a.takings[workspace]
+	t := a.newestTaking(workspace)
 	if t == nil {
 		return 0
 	}
 	account := a.escrow.Account(workspace)
-	return max(0, t.holding.Net()-(account.Granted-account.Returned))
+	returned := max(t.holding.Returned, account.Returned) // The record of the latest return may not be read yet.
+	return max(0, t.holding.Granted-returned-(account.Granted-account.Returned))
 }
 
-// addWitness records that a router knows of a taking, and credits that once enough do; a.mu must be held.
-func (a *Allocator) addWitness(workspace, router string) {
-	t := a.takings[workspace]
-	t.witnesses[router] = true
-	if len(t.witnesses) < a.neededWitnesses() {
+// addWitness records that a router knows of the takings of a budget that known selects, and credits the largest one that
+// enough know of; a.mu must be held.
+func (a *Allocator) addWitness(workspace, router string, known func(*taking) bool) {
+	list, needed := a.takings[workspace], a.neededWitnesses()
+	credited := 0
+	for n, t := range list {
+		if known(t) {
+			t.witnesses[router] = true
+		}
+		if len(t.witnesses) >= needed {
+			credited = n + 1
+		}
+	}
+	if credited == 0 {
 		return
 	}
-	a.escrow.RaiseTotals(workspace, t.holding.Granted, t.holding.Returned)
-	delete(a.takings, workspace)
+	h := list[credited-1].holding
+	a.escrow.RaiseTotals(workspace, h.Granted, h.Returned)
+	if a.takings[workspace] = slices.Clone(list[credited:]); credited == len(list) {
+		delete(a.takings, workspace)
+	}
 	if len(a.takings) == 0 {
 		select {
 		case a.witnessed <- struct{}{}:
@@ -138,8 +178,8 @@
 // abandonTakings returns the tokens that this router does not spend yet; a.mu must be held. After the log was set back,
 // others may have taken them again.
 func (a *Allocator) abandonTakings() {
-	for w, t := range a.takings {
-		account := a.escrow.Account(w)
+	for w := range a.takings {
+		t, account := a.newestTaking(w), a.escrow.Account(w)
 		a.escrow.RaiseTotals(w, t.holding.Granted, t.holding.Granted-(account.Granted-account.Returned))
 		a.options.Logger.Info("taken tokens given back unspent", "workspace", w, "tokens", t.holding.Net()-(account.Granted-account.Returned), "era", a.era, "witnesses", len(t.witnesses))
 	}
@@ -180,38 +220,70 @@
 	defer a.mu.Unlock()
 	m := message{Router: a.options.Router, Kind: messageTaken, Era: a.era}
 	for _, w := range slices.Sorted(maps.Keys(a.takings)) {
-		m.Held = append(m.Held, newHeldRow(w, a.takings[w].holding))
+		m.Held = append(m.Held, newHeldRow(w, a.newestTaking(w).holding))
 	}
-	receivers := a.possibleWitnesses()
+	receivers := slices.DeleteFunc(a.possibleWitnesses(), a.knowsTakings)
 	return receivers[:min(len(receivers), (maxWitnesses+spareWitnesses)<<sent)], m
 }
 
+// knowsTakings reports whether a router is a witness of all takings; a.mu must be held.
+func (a *Allocator) knowsTakings(m jvmember.Member) bool {
+	for w := range a.takings {
+		if !a.newestTaking(w).witnesses[m.Name] {
+			return false
+		}
+	}
+	return true
+}
+
 // logTakings logs the takings that too few routers know of.
 func (a *Allocator) logTakings() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, w := range slices.Sorted(maps.Keys(a.takings)) {
-		t := a.takings[w]
+		t := a.takings[w][0]
 		a.options.Logger.Info("tokens wait for witnesses", "workspace", w, "tokens", a.taken(w), "witnesses", len(t.witnesses),
-			"needed", a.neededWitnesses(), "ms", a.options.Timer.Since(t.at).Milliseconds())
+			"needed", a.neededWitnesses(), "statements", t.statements, "ms", a.options.Timer.Since(t.at).Milliseconds())
 	}
 }
 
-// stateTakings reports whether a statement is due since others have not answered; a.mu must be held.
-func (a *Allocator) stateTakings() bool {
-	for _, t := range a.takings {
-		if t.statedEnd == 0 && a.options.Timer.Since(t.at) >= stateTakingAfter {
-			return true
+// stateTakings returns the number of routers that the next statement asks to be witnesses, since others have not answered, or
+// 0; a.mu must be held.
+func (a *Allocator) stateTakings() int {
+	restate := restateTakingAfter + 2*a.fleetSizeLocked().readInterval(a.options.ReadInterval, false)
+	asked := 0
+	for _, list := range a.takings {
+		for _, t := range list {
+			if t.statements == 0 && a.options.Timer.Since(t.at) >= stateTakingAfter || t.statements > 0 && a.options.Timer.Since(t.askedAt) >= restate {
+				asked = max(asked, (maxWitnesses+spareWitnesses)<<min(t.statements, maxStatementDoublings))
+			}
 		}
 	}
-	return false
+	return asked
 }
 
+// maxStatementDoublings bounds the shift in stateTakings: all routers of a fleet are asked then.
+const maxStatementDoublings = 8
+
 // noteStated records that a published statement has the holdings of takings; a.mu must be held.
 func (a *Allocator) noteStated(s Statement, end uint64) {
+	asks := slices.ContainsFunc(s.Rows, func(r Row) bool { return strings.HasPrefix(r.Workspace, witnessPrefix) })
 	for _, row := range s.Rows {
-		if w, ok := row.holdingOf(); ok && a.takings[w] != nil && a.takings[w].statedEnd == 0 && row.Used >= a.takings[w].holding.Granted {
-			a.takings[w].statedEnd = end
+		w, ok := row.holdingOf()
+		if !ok {
+			continue
+		}
+		for _, t := range a.takings[w] {
+			if row.Used < t.holding.Granted {
+				continue
+			}
+			if t.statedEnd == 0 {
+				t.statedEnd = end
+			}
+			if asks {
+				t.statements++
+				t.askedAt = a.options.Timer.Now()
+			}
 		}
 	}
 }
@@ -223,9 +295,26 @@
 	if !ok || o.era != a.era || router == a.options.Router {
 		return
 	}
-	for w, t := range a.takings {
-		if t.statedEnd != 0 && o.readOffset >= t.statedEnd {
-			a.addWitness(w, router)
-		}
+	for w := range a.takings {
+		a.addWitness(w, router, func(t *taking) bool { return t.statedEnd != 0 && o.readOffset >= t.statedEnd })
+	}
+}
+
+// witnessPrefix begins the workspace of a row that names a router which is asked to be a witness: it publishes a statement
+// once it has read the row. Releases that don't know it read a row of no workspace.
+const witnessPrefix = rowPrefix + "witness/"
+
+// witnessRows returns the rows that ask n routers to be witnesses; a.mu must be held.
+func (a *Allocator) witnessRows(n int) (rows []Row) {
+	possible := a.possibleWitnesses()
+	for _, m := range possible[:min(n, len(possible))] {
+		rows = append(rows, Row{Workspace: witnessPrefix + m.Name})
 	}
+	return rows
+}
+
+// isWitness reports whether a statement asks this router to be a witness; a.mu must be held.
+func (a *Allocator) isWitness(s Statement) bool {
+	_, ok := s.row(witnessPrefix + a.options.Router)
+	return ok
 }
