Reservations at holders and questions of cut routers use connections, too

In a large fleet a router reserves tokens at holders by packets, and settles them so. With packets lost all its requests were refused, and what it had reserved counted as spent after ten minutes. A router that is cut from all servers counts as stranded once no other router has answered its packets for a second.

Suspected holders, and those that a waiting request waits for, are now also asked by a connection, and the third settle of a reservation goes by one.

--- a/internal/jvloan/borrower.go
+++ b/internal/jvloan/borrower.go
@@ -40,6 +40,8 @@
 	settleInterval    = 50 * time.Millisecond
 	maxSettleInterval = 2 * time.Second
 	maxSettles        = 16
+	// settlesByPacket is the number of settles after which the next ones are also sent by a connection.
+	settlesByPacket = 2
 	// waitResend is the interval at which reserves without a response are sent again while a request waits.
 	waitResend = 100 * time.Millisecond
 )
@@ -99,7 +101,11 @@
 	b.settling[number] = s
 	s.next = b.options.Timer.Now().Add(min(settleInterval<<s.sends, maxSettleInterval))
 	s.sends++
-	b.options.Send(s.to, message{Operation: operationSettle, Router: b.options.Self().Name, Process: b.process, Number: number, Tokens: s.used}.encode())
+	data := message{Operation: operationSettle, Router: b.options.Self().Name, Process: b.process, Number: number, Tokens: s.used}.encode()
+	b.options.Send(s.to, data)
+	if s.sends > settlesByPacket {
+		b.options.Post(s.to, data)
+	}
 }
 
 // resend sends again what has not been confirmed.
--- a/internal/jvloan/loans.go
+++ b/internal/jvloan/loans.go
@@ -63,6 +63,9 @@
 
 // New returns Loans that know no other router.
 func New(o Options) *Loans {
+	if o.Post == nil {
+		o.Post = o.Send
+	}
 	l := &Loans{options: o, lender: newLender(o), borrower: newBorrower(o), role: RoleUnknown}
 	l.advances = newAdvances(o, &advanceMessages{loans: l, open: map[uint64]asked{}})
 	return l
--- a/internal/jvloan/options.go
+++ b/internal/jvloan/options.go
@@ -37,8 +37,10 @@
 	Self    func() jvmember.Member
 	Others  func() []jvmember.Member
 	Settled func() bool
-	// Send sends a message to another router; it may be lost.
+	// Send sends a message to another router; it may be lost. Post sends one on a connection, which takes longer; it is Send
+	// if it is nil.
 	Send   func(to jvmember.Member, message []byte)
+	Post   func(to jvmember.Member, message []byte)
 	Timer  *jvtimer.Service
 	Logger logr.Logger
 	// Random returns a number in [0, 1); it must be safe for concurrent use.
--- a/internal/jvloan/search.go
+++ b/internal/jvloan/search.go
@@ -50,7 +50,7 @@
 			if s.loans.borrower.suspected(h.Name) != suspected || (suspected && len(s.waitable) > 0) {
 				continue
 			}
-			if r, done, err := s.try(ctx, h); done {
+			if r, done, err := s.try(ctx, h, suspected); done {
 				return r, err
 			}
 		}
@@ -65,8 +65,9 @@
 		s.tokens, len(s.candidates), strings.Join(s.refusals, "; "))
 }
 
-// try asks a holder that is not to wait. done is true if no other holder needs to be asked.
-func (s *search) try(ctx context.Context, h jvmember.Member) (r jvescrow.Reservation, done bool, err error) {
+// try asks a holder that is not to wait, also by a connection if it is suspected. done is true if no other holder needs to
+// be asked.
+func (s *search) try(ctx context.Context, h jvmember.Member, suspected bool) (r jvescrow.Reservation, done bool, err error) {
 	counted := !s.counted
 	s.counted = true
 	if h.Name == s.loans.options.Self().Name {
@@ -74,6 +75,9 @@
 		return s.result(h, r, err)
 	}
 	number := s.ask(h, 0, counted)
+	if suspected {
+		s.loans.options.Post(h, s.open[number].data)
+	}
 	limit := s.loans.options.ResponseTime
 	for range 2 { // The message is sent once more in case that it is lost.
 		if r, done, err = s.collect(ctx, number, limit/2); done {
@@ -101,13 +105,19 @@
 			r, err = s.loans.options.Allocator.Await(ctx, s.workspace, s.tokens)
 			return s.result(h, r, err)
 		}
-		s.ask(h, limit, false)
+		number := s.ask(h, limit, false)
+		if s.loans.borrower.suspected(h.Name) {
+			s.loans.options.Post(h, s.open[number].data)
+		}
 	}
 	for len(s.open) > 0 && ctx.Err() == nil {
 		if r, done, err = s.collect(ctx, 0, waitResend); done {
 			return r, done, err
 		}
 		s.resend()
+		for _, a := range s.open {
+			s.loans.options.Post(a.holder, a.data)
+		}
 	}
 	return r, false, nil
 }
--- a/internal/jvreach/monitor.go
+++ b/internal/jvreach/monitor.go
@@ -242,11 +242,17 @@
 	}
 }
 
-// askStates asks all other routers for their state.
+// askStates asks all other routers for their state, also by connections if none has answered for a while.
 func (m *Monitor) askStates() {
+	m.mu.Lock()
+	unanswered := m.cut && m.options.Timer.Since(m.servedAt) >= statusInterval
+	m.mu.Unlock()
 	data := jvcodec.Encode(message{Question: &question{From: m.options.Self.Name, Cut: m.Cut()}})
 	for _, other := range m.options.Others() {
 		m.options.Send(other, data)
+		if unanswered {
+			m.options.Post(other, data)
+		}
 	}
 }
 
--- a/internal/jvreach/options.go
+++ b/internal/jvreach/options.go
@@ -25,8 +25,9 @@
 	// Self is this router. Others returns the other routers of the fleet.
 	Self   jvmember.Member
 	Others func() []jvmember.Member
-	// Send sends a message to another router; it may be lost.
+	// Send sends a message to another router; it may be lost. Post sends one on a connection, which takes longer.
 	Send func(to jvmember.Member, message []byte)
+	Post func(to jvmember.Member, message []byte)
 	// Connect opens a connection to a target and closes it. It returns false if the target's machine refuses
 	// connections or does not respond.
 	Connect func(ctx context.Context, t Target) bool
@@ -49,6 +50,7 @@
 		Logger:         logr.Discard(),
 		Others:         func() []jvmember.Member { return nil },
 		Send:           func(jvmember.Member, []byte) {},
+		Post:           func(jvmember.Member, []byte) {},
 		Targets:        func() []Target { return nil },
 		StoreReachable: func() bool { return true },
 		Room:           func() int64 { return 0 },
