Registrations say whether a router takes deliveries and confirms origins

While builds of two landings run side by side, a first event would wait 100 ms for receipts that routers of the earlier build never send, and connections to these would fail. Registrations have a field for it, which earlier builds don't read; a router without it gets origins once, by a packet, as before.

Evidence: TestBuildsWithoutReceipts; the tests of lost packets, versions, releases and builds of `platform` pass.

--- a/internal/jvmember/members.go
+++ b/internal/jvmember/members.go
@@ -20,6 +20,9 @@
 	Address string `json:"address"`
 	// Weight is the number of processors of the router's machine, or 0 if it holds no budgets for others.
 	Weight float64 `json:"weight,omitempty"`
+	// Deliveries is true if the router takes messages on connections, and confirms the origins of streams. Earlier builds do
+	// neither.
+	Deliveries bool `json:"deliveries,omitempty"`
 }
 
 // registered is a member with the time of its last registration on this router's steady clock.
--- a/internal/jvmember/record.go
+++ b/internal/jvmember/record.go
@@ -26,10 +26,12 @@
 	Address string `cbor:"address"`
 	// Weight is missing in records of routers that hold no budgets for others, and of earlier builds.
 	Weight float64 `cbor:"weight,omitempty"`
+	// Deliveries is missing in records of earlier builds.
+	Deliveries bool `cbor:"deliveries,omitempty"`
 }
 
 func encodeMember(m Member, atMillis int64) jvkeyed.Record {
-	return jvkeyed.Record{Key: routerPrefix + m.Name, Value: jvcodec.Encode(memberRecord{At: atMillis, Zone: m.Zone, Address: m.Address, Weight: m.Weight})}
+	return jvkeyed.Record{Key: routerPrefix + m.Name, Value: jvcodec.Encode(memberRecord{At: atMillis, Zone: m.Zone, Address: m.Address, Weight: m.Weight, Deliveries: m.Deliveries})}
 }
 
 // decodeMember decodes a router's record.
@@ -45,5 +47,5 @@
 	if !(r.Weight >= 0 && r.Weight <= maxWeight) { // Also false for NaN.
 		return m, 0, jvfault.Newf(op, KindMalformed, "the router %q has the weight %v", name, r.Weight)
 	}
-	return Member{Name: name, Zone: r.Zone, Address: r.Address, Weight: r.Weight}, r.At, nil
+	return Member{Name: name, Zone: r.Zone, Address: r.Address, Weight: r.Weight, Deliveries: r.Deliveries}, r.At, nil
 }
--- a/internal/jvoutbox/outbox.go
+++ b/internal/jvoutbox/outbox.go
@@ -97,8 +97,11 @@
 }
 
 // Post queues a message for another router and returns at once. A message that is not confirmed in time is dropped: the
-// sender repeats what has no answer.
+// sender repeats what has no answer. Routers of earlier builds get nothing.
 func (o *Outbox) Post(to jvmember.Member, message []byte) {
+	if !to.Deliveries {
+		return
+	}
 	if len(message) > maxMessageBytes {
 		o.dropped.Add(1)
 		return
--- a/internal/jvoutbox/outbox_test.go
+++ b/internal/jvoutbox/outbox_test.go
@@ -69,7 +69,7 @@
 		server := httptest.NewServer(o)
 		t.Cleanup(server.Close)
 		p.boxes = append(p.boxes, o)
-		p.members = append(p.members, jvmember.Member{Name: name, Address: server.Listener.Addr().String()})
+		p.members = append(p.members, jvmember.Member{Name: name, Address: server.Listener.Addr().String(), Deliveries: true})
 	}
 	return p
 }
--- a/internal/jvversion/fleet_test.go
+++ b/internal/jvversion/fleet_test.go
@@ -116,7 +116,7 @@
 		client = jvtopic.NewClient(f.topic, jvtopic.MutantUnshared)
 	}
 	r := &router{client: client, member: jvmember.Member{
-		Name: fmt.Sprint("router-", n), Zone: fmt.Sprint("zone-", n%zones), Address: fmt.Sprint("10.0.0.1:", n),
+		Name: fmt.Sprint("router-", n), Zone: fmt.Sprint("zone-", n%zones), Address: fmt.Sprint("10.0.0.1:", n), Deliveries: true,
 	}}
 	f.mu.Lock()
 	f.routers = append(f.routers, r)
--- a/internal/jvversion/publish.go
+++ b/internal/jvversion/publish.go
@@ -31,8 +31,9 @@
 type publication struct {
 	request string
 	data    []byte
-	// confirmed are the routers that have confirmed the origin; enough is closed once they are enough.
+	// confirmed are the routers that have confirmed the origin; enough is closed once they are needed many.
 	confirmed map[string]bool
+	needed    int
 	enough    chan struct{}
 	// sends is how often the origin was sent, next when it is sent again.
 	sends   int
@@ -42,7 +43,7 @@
 
 // Begin records that the caller of a request gets the first event of a stream from a target of a version, and sends that
 // to some other routers. Called before the event is sent, it returns once neededReceipts of them have confirmed it, after
-// maxBeginWait, or when ctx ends; the origin is sent on until it is confirmed.
+// maxBeginWait, or when ctx ends; the origin is sent on until it is confirmed. Routers of earlier builds get it once.
 func (v *Versions) Begin(ctx context.Context, request string, o Origin) {
 	if request == "" || o.Version == "" {
 		return
@@ -53,7 +54,7 @@
 	if len(others) == 0 {
 		return
 	}
-	p := v.publish(request, o)
+	p := v.publish(request, o, min(neededReceipts, len(confirming(others))))
 	for _, m := range holders(request, v.options.Self.Zone, others, 0) {
 		v.send(m, p.data, false)
 	}
@@ -65,22 +66,35 @@
 	}
 }
 
-// publish registers an origin that is sent for the first time.
-func (v *Versions) publish(request string, o Origin) *publication {
+// publish registers an origin that is sent for the first time, and that needs some receipts.
+func (v *Versions) publish(request string, o Origin, needed int) *publication {
 	now := v.options.Timer.Now()
-	p := &publication{request: request, confirmed: map[string]bool{}, enough: make(chan struct{}), sends: 1, next: now.Add(publishInterval), beganAt: now}
+	p := &publication{request: request, needed: needed, confirmed: map[string]bool{}, enough: make(chan struct{}), sends: 1, next: now.Add(publishInterval), beganAt: now}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.lastNumber++
 	p.data = jvcodec.Encode(message{Begun: []begun{{Request: request, Origin: o}}, Number: v.lastNumber})
-	if len(v.publications) >= maxPublications {
+	switch {
+	case needed == 0:
+		close(p.enough)
+	case len(v.publications) >= maxPublications:
 		v.unconfirmed.Add(1)
-		return p
+	default:
+		v.publications[v.lastNumber] = p
 	}
-	v.publications[v.lastNumber] = p
 	return p
 }
 
+// confirming returns the routers that confirm origins: earlier builds don't.
+func confirming(others []jvmember.Member) (list []jvmember.Member) {
+	for _, m := range others {
+		if m.Deliveries {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
 // confirm records a receipt.
 func (v *Versions) confirm(r receipt) {
 	v.mu.Lock()
@@ -90,7 +104,7 @@
 		return
 	}
 	p.confirmed[r.From] = true
-	if len(p.confirmed) >= neededReceipts {
+	if len(p.confirmed) >= p.needed {
 		v.endPublication(r.Number, p)
 	}
 }
@@ -109,7 +123,7 @@
 		data []byte
 	}
 	var due []resend
-	others := v.options.Others()
+	others := confirming(v.options.Others())
 	now := v.options.Timer.Now()
 	v.mu.Lock()
 	for number, p := range v.publications {
--- a/internal/jvversion/versions_test.go
+++ b/internal/jvversion/versions_test.go
@@ -8,13 +8,17 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"github.com/jasminevale/jasminevale/internal/jvcodec"
+	"github.com/jasminevale/jasminevale/internal/jvmember"
 	"github.com/jasminevale/jasminevale/internal/jvproperty"
+	"github.com/jasminevale/jasminevale/internal/jvtimer"
+	"github.com/jasminevale/jasminevale/internal/jvtopic"
 )
 
 // TestOneVersionNeedsNoRecords guards against records for each stream, and against more messages than those to its
@@ -136,6 +140,25 @@
 	})
 }
 
+// TestBuildsWithoutReceipts guards against first events that wait for routers of earlier builds, which confirm no origin, and
+// against origins that are sent to these for long.
+func TestBuildsWithoutReceipts(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
+		o := DefaultOptions()
+		o.Timer, o.Topic, o.Random = jvtimer.NewService(), jvtopic.NewClient(jvtopic.New(), jvtopic.MutantNone), func() float64 { return 0 }
+		o.Others = func() []jvmember.Member { return []jvmember.Member{{Name: "a"}, {Name: "b"}, {Name: "c"}} }
+		sent := 0
+		o.Send = func(jvmember.Member, []byte) { sent++ }
+		v := New(o)
+		began := o.Timer.Now()
+		v.Begin(context.Background(), "request", Origin{Pool: pool, Version: "v1"})
+		require.Zero(t, o.Timer.Since(began))
+		require.Zero(t, v.Dump().Unconfirmed)
+		require.Equal(t, holdersPerSide, sent)
+		o.Timer.Close()
+	})
+}
+
 // TestVersionsOfKilledRouters guards against refusing streams whose router has been killed (incident ORDER, issue
 // 24): in fleets of 6 and 83 routers with several versions, 99 in 100 of them are known elsewhere, whatever becomes of packets.
 func TestVersionsOfKilledRouters(t *testing.T) {
