--- a/internal/jvharness/process.go
+++ b/internal/jvharness/process.go
@@ -41,6 +41,9 @@
 	return p, nil
 }
 
+// PID returns the process ID.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // Signal sends a signal to the process by its process ID.
 func (p *Process) Signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
 
