--- a/internal/jvpressure/limits.go
+++ b/internal/jvpressure/limits.go
@@ -24,10 +24,15 @@
 	IdleTargets int64
 	// HeldBytes is the memory that requests in progress may hold, with their bodies.
 	HeldBytes int64
+	// ReceiveBytes is the receive buffer of a caller's connection: what has arrived and is not read counts as the machine's memory.
+	ReceiveBytes int64
 	// MemoryBytes is the memory from which on neither connections nor requests are admitted.
 	MemoryBytes int64
 }
 
+// CallersQueue is the number of callers' connections that wait to be accepted.
+const CallersQueue = 256
+
 const (
 	// MinDescriptors is the smallest number of descriptors with which a process starts.
 	MinDescriptors = 128
@@ -47,6 +52,11 @@
 	// connectionMemory and requestMemory are the shares of the memory for these.
 	connectionMemory = 0.3
 	requestMemory    = 0.5
+	// receiveMemory is the share of the memory for the receive buffers of callers' connections, those that wait to be accepted
+	// included. Each has minReceiveBytes at least and maxReceiveBytes at most.
+	receiveMemory   = 0.1
+	minReceiveBytes = 8 << 10
+	maxReceiveBytes = 64 << 10
 	// processorRequests is the number of requests in progress for each processor of a machine whose memory isn't known: each
 	// takes about 1 ms of it, so that those in progress are a second's work at most.
 	processorRequests = 1000
@@ -74,6 +84,7 @@
 		l.HeldBytes = share(requestMemory, m.MemoryBytes)
 		l.Requests = smaller(l.Requests, share(requestMemory, m.MemoryBytes)/requestBytes)
 		l.Callers = smaller(l.Callers, share(connectionMemory, m.MemoryBytes)/connectionBytes)
+		l.ReceiveBytes = min(max(share(receiveMemory, m.MemoryBytes)/(l.Callers+CallersQueue), minReceiveBytes), maxReceiveBytes)
 		l.MemoryBytes = max(minMemoryBytes, share(memoryShare, m.MemoryBytes))
 	}
 	if m.Processors > 0 && m.MemoryBytes == 0 {
