jvrouter: bodies of callers take memory from an account, as on the platform

Callers saw: 503 from a router of which 120 clients hold bodies of 4,000,000 bytes, one byte short; the router's memory had no bound without `limits.memory`, and held 232 and 249 MB of 112 with it.

Cause: its front read each body with io.ReadAll, up to 4 MB for each of up to 8,192 connections. Only the share of the heap refused requests, after the fact, and then everybody's.

The way in which the platform's front reads a body is now jvmemory.Account.ReadBody, and both fronts use it: memory is reserved in steps, a sender without progress loses its place, holders have shares, and a refusal is sent before the request has run and closes the connection. A refusal for want of memory is 429 `overloaded` with Retry-After 1. `limits.memory` that is not set is that of the machine or of the process's control group, for bodies and the process's memory only. The listeners of all three ports bound what is received unread, and operators' requests are limited to the body limit.

Open: a request's memory is returned at the end of its response, though its flight may go on after its caller has left.

--- a/cmd/jvrouter/run.go
+++ b/cmd/jvrouter/run.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strings"
 	"syscall"
 	"time"
@@ -18,7 +19,9 @@
 	"github.com/jasminevale/jasminevale/internal/jvedge"
 	"github.com/jasminevale/jasminevale/internal/jvengine"
 	"github.com/jasminevale/jasminevale/internal/jvfleet"
+	"github.com/jasminevale/jasminevale/internal/jvlisten"
 	"github.com/jasminevale/jasminevale/internal/jvlog"
+	"github.com/jasminevale/jasminevale/internal/jvmemory"
 	"github.com/jasminevale/jasminevale/internal/jvpeer"
 	"github.com/jasminevale/jasminevale/internal/jvplatform"
 	"github.com/jasminevale/jasminevale/internal/jvpressure"
@@ -45,6 +48,9 @@
 		return errors.Wrap(err, "read the fleet's secret")
 	}
 	logger := jvlog.New(os.Stdout, int(settings.Log.Level)).WithValues("vm", settings.VM, "zone", settings.Zone)
+	if memory := settings.Machine().MemoryBytes; memory > 0 {
+		debug.SetMemoryLimit(int64(heapShare * float64(memory)))
+	}
 	timer := jvtimer.NewService()
 	listeners, err := listen(settings)
 	if err != nil {
@@ -83,12 +89,23 @@
 	return nil
 }
 
+// maxOwnBytes is the receive buffer of connections to the ports of operators and peers.
+const maxOwnBytes = 32 << 10
+
 // listen opens all ports before the router joins the fleet, so that the program ends at once
 // if a port is in use.
 func listen(s jvsetting.Router) ([]net.Listener, error) {
+	limits, err := divide(s)
+	if err != nil {
+		return nil, err
+	}
 	var listeners []net.Listener
-	for _, address := range []string{s.Callers.Address, s.Operators.Address, s.Peers.Address} {
-		l, err := net.Listen("tcp", address)
+	for i, address := range []string{s.Callers.Address, s.Operators.Address, s.Peers.Address} {
+		o := jvlisten.Options{Queue: jvpressure.CallersQueue, ReceiveBytes: maxOwnBytes}
+		if i == 0 {
+			o.ReceiveBytes = int(limits.ReceiveBytes)
+		}
+		l, err := jvlisten.Listen(address, o)
 		if err != nil {
 			return nil, errors.Wrapf(err, "listen on %s", address)
 		}
@@ -163,10 +180,46 @@
 	return o, nil
 }
 
+// divide returns the limits by the VM's resources. Memory that the settings don't name is that of the machine, which limits only
+// what bodies and the process hold.
+func divide(s jvsetting.Router) (jvpressure.Limits, error) {
+	limits, err := s.Machine().Divide()
+	if err != nil || limits.HeldBytes > 0 {
+		return limits, err
+	}
+	all, err := jvpressure.Machine{MemoryBytes: jvpressure.MachineMemory()}.Divide()
+	limits.HeldBytes, limits.MemoryBytes, limits.ReceiveBytes = all.HeldBytes, all.MemoryBytes, all.ReceiveBytes
+	return limits, err
+}
+
+// newAccount returns the account of what callers' requests hold.
+func newAccount(s jvsetting.Router, gate *jvpressure.Gate, timer *jvtimer.Service) (*jvmemory.Account, error) {
+	limits, err := divide(s)
+	if err != nil || limits.HeldBytes == 0 {
+		return nil, err
+	}
+	edge := jvedge.DefaultLimits()
+	return jvmemory.NewAccount(jvmemory.AccountOptions{
+		Bytes: limits.HeldBytes, Timer: timer,
+		IdleTime:  func() time.Duration { return edge.ReadTimeout },
+		ShortTime: func() time.Duration { return shortReadTime },
+		Crowded:   func() bool { return gate.Requests().Share() > crowdedShare },
+	}), nil
+}
+
+const (
+	// heapShare is the share of the memory from which on the heap is collected more often. It is more than what requests hold.
+	heapShare = 0.6
+	// shortReadTime is how long a body may make no progress while memory or places are short, crowdedShare the share of the
+	// requests from which on places are.
+	shortReadTime = 3 * time.Second
+	crowdedShare  = 0.5
+)
+
 // newGate returns the gate that admits callers' requests, by the limits of the VM and, if its processors are known, by the
 // delay of events.
 func newGate(s jvsetting.Router, timer *jvtimer.Service, random func() float64, logger logr.Logger) (*jvpressure.Gate, error) {
-	limits, err := s.Machine().Divide()
+	limits, err := divide(s)
 	if err != nil {
 		return nil, err
 	}
@@ -191,6 +244,10 @@
 }
 
 func openPorts(s jvsetting.Router, secret string, listeners []net.Listener, router *jvfleet.Router, gate *jvpressure.Gate, timer *jvtimer.Service, logger logr.Logger) (*ports, error) {
+	account, err := newAccount(s, gate, timer)
+	if err != nil {
+		return nil, err
+	}
 	limits := jvedge.DefaultLimits()
 	if s.Limits.MaxBodyBytes > 0 {
 		limits.MaxBodyBytes = s.Limits.MaxBodyBytes
@@ -209,8 +266,8 @@
 		jvedge.AnnounceClose(router.Stopping, jvedge.Admit(gate, func(key string) string {
 			w, _ := router.Catalog().Workspace(key)
 			return w.Name
-		}, logger.WithName("callers"), jvedge.CallersHandler(jvedge.NewCallers(router, limits), logger.WithName("callers")))),
-		jvedge.OperatorsHandler(jvedge.NewOperators(router, stop), logger.WithName("operators")),
+		}, logger.WithName("callers"), jvedge.CallersHandler(jvedge.NewCallers(router, limits, account), logger.WithName("callers")))),
+		http.MaxBytesHandler(jvedge.OperatorsHandler(jvedge.NewOperators(router, stop), logger.WithName("operators")), limits.MaxBodyBytes),
 		peers,
 	}
 	p := &ports{failed: make(chan error, len(handlers))}
--- a/internal/jvedge/callers.go
+++ b/internal/jvedge/callers.go
@@ -13,6 +13,7 @@
 	"github.com/jasminevale/jasminevale/internal/gen/services"
 	"github.com/jasminevale/jasminevale/internal/jvfleet"
 	"github.com/jasminevale/jasminevale/internal/jvflight"
+	"github.com/jasminevale/jasminevale/internal/jvmemory"
 	"github.com/jasminevale/jasminevale/internal/jvrecord"
 )
 
@@ -20,17 +21,19 @@
 type Callers struct {
 	router *jvfleet.Router
 	limits Limits
+	// account limits the memory of bodies.
+	account *jvmemory.Account
 }
 
-// NewCallers returns the callers' services of a router.
-func NewCallers(router *jvfleet.Router, limits Limits) *Callers {
-	return &Callers{router: router, limits: limits}
+// NewCallers returns the callers' services of a router, whose bodies an account limits.
+func NewCallers(router *jvfleet.Router, limits Limits, account *jvmemory.Account) *Callers {
+	return &Callers{router: router, limits: limits, account: account}
 }
 
 // Chat implements models.Service.
 func (c *Callers) Chat(ctx context.Context, p *models.ChatPayload, body io.ReadCloser) (*models.ChatResult, io.ReadCloser, error) {
 	x := exchangeOf(ctx)
-	data, problem := c.readBody(x, body)
+	data, problem := c.readBody(x, body, p.Authorization)
 	if problem != nil {
 		return nil, nil, x.modelProblem("", problem)
 	}
@@ -57,7 +60,7 @@
 // Call implements services.Service.
 func (c *Callers) Call(ctx context.Context, p *services.CallPayload, body io.ReadCloser) (*services.CallResult, io.ReadCloser, error) {
 	x := exchangeOf(ctx)
-	data, problem := c.readBody(x, body)
+	data, problem := c.readBody(x, body, p.Authorization)
 	if problem != nil {
 		return nil, nil, x.serviceProblem("", problem)
 	}
@@ -98,36 +101,38 @@
 	return &services.CallResult{Outcome: &end.Outcome, Request: q.ID, Content: content}, io.NopCloser(strings.NewReader(string(end.Body))), nil
 }
 
-// readBody reads a request's body within the limits. It clears the read deadline afterwards, which
-// would otherwise end answers that take longer.
-func (c *Callers) readBody(x *exchange, body io.ReadCloser) ([]byte, *jvfleet.Problem) {
+// readBody reads a request's body within the limits. The exchange holds its memory until the response ends.
+func (c *Callers) readBody(x *exchange, body io.ReadCloser, authorization *string) ([]byte, *jvfleet.Problem) {
 	if !x.request.ProtoAtLeast(1, 1) && carriesBody(x.request.Method) && x.request.Header.Get("Content-Length") == "" {
-		return nil, &jvfleet.Problem{
-			Name:    jvfleet.ProblemMalformed,
-			Message: "a request of HTTP/1.0 with a body needs a Content-Length",
-			Outcome: jvrecord.OutcomeNotRun,
-		}
+		return nil, bodyProblem(jvfleet.ProblemMalformed, "a request of HTTP/1.0 with a body needs a Content-Length")
+	}
+	x.request.Body = body
+	w, _ := c.router.Catalog().Workspace(strings.TrimPrefix(stringOrEmpty(authorization), "Bearer "))
+	data, lease, err := c.account.ReadBody(x, x.request, w.Name, c.limits.MaxBodyBytes, c.router.Now().Add(c.limits.ReadTimeout))
+	x.lease = lease
+	if err == nil {
+		return data, nil
 	}
-	control := http.NewResponseController(x)
-	_ = control.SetReadDeadline(c.router.Now().Add(c.limits.ReadTimeout))
-	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
-	data, err := io.ReadAll(http.MaxBytesReader(nil, body, c.limits.MaxBodyBytes))
+	x.Header().Set("Connection", "close")
+	_ = http.NewResponseController(x).SetReadDeadline(c.router.Now()) // net/http reads a part of the rest before the response.
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
-		return nil, &jvfleet.Problem{
-			Name:    jvfleet.ProblemOversize,
-			Message: "the body is larger than " + strconv.FormatInt(c.limits.MaxBodyBytes, 10) + " bytes",
-			Outcome: jvrecord.OutcomeNotRun,
-		}
-	case err != nil:
-		return nil, &jvfleet.Problem{
-			Name:    jvfleet.ProblemMalformed,
-			Message: "the body is incomplete or was sent too slowly",
-			Outcome: jvrecord.OutcomeNotRun,
-		}
+		return nil, bodyProblem(jvfleet.ProblemOversize, "the body is larger than "+strconv.FormatInt(c.limits.MaxBodyBytes, 10)+" bytes")
+	case errors.Is(err, jvmemory.ErrFull):
+		p := bodyProblem(jvfleet.ProblemOverloaded, "this VM has no memory left for the body: another one may take the request")
+		p.RetryAfter = fullRetryAfter
+		return nil, p
 	}
-	return data, nil
+	return nil, bodyProblem(jvfleet.ProblemMalformed, "the body is incomplete or was sent too slowly")
+}
+
+// fullRetryAfter is the delay after which memory may be free for a body.
+const fullRetryAfter = time.Second
+
+// bodyProblem returns the problem of a request that has not run since its body was not read.
+func bodyProblem(name jvfleet.ProblemName, message string) *jvfleet.Problem {
+	return &jvfleet.Problem{Name: name, Message: message, Outcome: jvrecord.OutcomeNotRun}
 }
 
 // carriesBody reports whether requests of a method have a body. Without a Content-Length net/http reads none of HTTP/1.0.
--- a/internal/jvedge/end_test.go
+++ b/internal/jvedge/end_test.go
@@ -68,7 +68,7 @@
 		o.Timing.PeerTimeout = stepTimeout // The verdict must not depend on the speed of the machine.
 		rt := f.sim.Start(o)
 		f.routers = append(f.routers, rt)
-		handler := jvedge.CallersHandler(jvedge.NewCallers(rt, jvedge.DefaultLimits()), logr.Discard())
+		handler := jvedge.CallersHandler(jvedge.NewCallers(rt, jvedge.DefaultLimits(), nil), logr.Discard())
 		f.plain = append(f.plain, f.serve(handler, nil))
 		f.secure = append(f.secure, f.serve(handler, &tls.Config{Certificates: []tls.Certificate{certificate}}))
 	}
--- a/internal/jvedge/exchange.go
+++ b/internal/jvedge/exchange.go
@@ -9,6 +9,7 @@
 
 	"github.com/jasminevale/jasminevale/internal/jvend"
 	"github.com/jasminevale/jasminevale/internal/jvfleet"
+	"github.com/jasminevale/jasminevale/internal/jvmemory"
 )
 
 // exchange is the HTTP request and response of one call of a service method. Goa's generated code
@@ -18,6 +19,8 @@
 	request *http.Request
 	// statusOverride, if not 0, replaces the status of the design: a plain service's own status.
 	statusOverride int
+	// lease holds the memory of the request's body; it may be nil.
+	lease *jvmemory.Lease
 	// closes is true if the response ends with its connection.
 	closes bool
 }
@@ -69,6 +72,7 @@
 func withExchange(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		x := &exchange{ResponseWriter: w, request: r}
+		defer func() { x.lease.Close() }()
 		next.ServeHTTP(x, r.WithContext(context.WithValue(r.Context(), exchangeKey{}, x)))
 		x.finish()
 	})
