First events wait 25 ms for receipts at most, and connections follow once packets have failed

A first event waited up to 100 ms, also for routers that a cut of a zone kept away, and an origin that had no receipt within 40 ms went by connections, as did all others for 5 s: on a busy fleet of 295 routers that fed itself.

Now the wait is 25 ms, and there is none for a second after one in vain. Connections follow after two packets. They are used at once only while they alone bring receipts, and until a process has its first receipt for a packet; a bit in the number of a message shows by which way it came. A search asks routers that are no likely holders three times, by connections the last time.

TestOriginsOfManyRouters and TestOneVersionNeedsNoRecords count connections exactly, beside packets.

--- a/internal/jvgrant/witness.go
+++ b/internal/jvgrant/witness.go
@@ -201,7 +201,7 @@
 		for _, to := range receivers {
 			for _, part := range m.parts() {
 				a.options.Send(to, part)
-				if n > 0 {
+				if n == maxWitnessSends-1 {
 					a.options.Post(to, part)
 				}
 			}
--- a/internal/jvversion/find.go
+++ b/internal/jvversion/find.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/jasminevale/jasminevale/internal/jvcodec"
@@ -15,6 +14,8 @@
 	resendInterval    = 40 * time.Millisecond
 	maxResendInterval = 320 * time.Millisecond
 	maxDoublings      = 3
+	// restSends is how often routers that are no likely holders are asked.
+	restSends = 3
 	// searchShare is the share of the caller's remaining time after which a search ends, maxSearchTime limits one without
 	// a deadline.
 	searchShare   = 0.75
@@ -44,11 +45,7 @@
 	defer v.forget(s.number)
 	for n := 0; ; n++ {
 		likely, rest := likelyHolders(request, v.options.Others())
-		asked := likely
-		if n > 0 { // The router that began the stream may be none of the likely holders.
-			asked = slices.Concat(likely, rest)
-		}
-		if o, ok := s.ask(ctx, asked, n); ok {
+		if o, ok := s.ask(ctx, likely, rest, n); ok {
 			return o, SourcePeer
 		}
 		switch {
@@ -106,14 +103,30 @@
 }
 
 // ask sends the question to the routers that have not answered, after n earlier sends, and waits until one of them has a
-// record of the origin, all have answered, or it is time to send the question again.
-func (s *search) ask(ctx context.Context, asked []jvmember.Member, n int) (Origin, bool) {
+// record of the origin, all have answered, or it is time to send the question again. The router that began the stream may be
+// none of the likely holders: the rest are asked restSends times, the last time by connections.
+func (s *search) ask(ctx context.Context, likely, rest []jvmember.Member, n int) (Origin, bool) {
 	v := s.versions
 	missing := 0
-	for _, m := range asked {
+	for _, m := range likely {
 		if !s.answered[m.Name] {
 			missing++
-			v.send(m, s.data, n > 0)
+			v.options.Send(m, s.data)
+			if n > 0 {
+				v.options.Post(m, s.data)
+			}
+		}
+	}
+	for _, m := range rest {
+		if n == 0 || s.answered[m.Name] {
+			continue
+		}
+		missing++
+		if n <= restSends {
+			v.options.Send(m, s.data)
+		}
+		if n == restSends {
+			v.options.Post(m, s.data)
 		}
 	}
 	resend := v.options.Timer.After(min(resendInterval<<min(n, maxDoublings), maxResendInterval))
--- a/internal/jvversion/fleet_test.go
+++ b/internal/jvversion/fleet_test.go
@@ -65,9 +65,10 @@
 	// versions are the versions of the targets of pool, others those of other pools.
 	versions []string
 	others   map[string][]string
-	// lost is the share of messages that are lost, sent the number of all.
-	lost float64
-	sent atomic.Int64
+	// lost is the share of packets that are lost, sent the number of all, and posted that of messages on connections.
+	lost   float64
+	sent   atomic.Int64
+	posted atomic.Int64
 	// started is the number of streams begun.
 	started int
 	// mutant is a fault that is injected on purpose.
@@ -143,8 +144,8 @@
 		_, at := r.lastView()
 		return f.mutant == mutantStale || f.timer.Since(at) < currentAge
 	}
-	o.Send = func(to jvmember.Member, data []byte) { f.send(r, f.byName(to.Name), data, f.lost) }
-	o.Post = func(to jvmember.Member, data []byte) { f.send(r, f.byName(to.Name), data, 0) }
+	o.Send = func(to jvmember.Member, data []byte) { f.send(r, f.byName(to.Name), data, f.lost, &f.sent) }
+	o.Post = func(to jvmember.Member, data []byte) { f.send(r, f.byName(to.Name), data, 0, &f.posted) }
 	r.set(func() {
 		r.Versions = New(o)
 		r.down = false
@@ -172,9 +173,9 @@
 	r.set(func() { r.down = true })
 }
 
-// send delivers a message after a delay, unless it is among a share that is lost.
-func (f *fleet) send(from, to *router, data []byte, lost float64) {
-	f.sent.Add(1)
+// send counts a message and delivers it after a delay, unless it is among a share that is lost.
+func (f *fleet) send(from, to *router, data []byte, lost float64, count *atomic.Int64) {
+	count.Add(1)
 	fromDown, fromCut := from.state()
 	toDown, toCut := to.state()
 	if fromDown || toDown || fromCut != toCut || f.random.Float() < lost {
@@ -185,7 +186,7 @@
 		down, receiver := to.down, to.Versions
 		to.mu.Unlock()
 		if !down {
-			_ = receiver.Receive(data, func(reply []byte) { f.send(to, from, reply, lost) })
+			_ = receiver.Receive(data, func(reply []byte) { f.send(to, from, reply, lost, count) })
 		}
 	})
 }
--- a/internal/jvversion/versions.go
+++ b/internal/jvversion/versions.go
@@ -42,8 +42,12 @@
 	lastNumber uint64
 	// publications are the origins that too few other routers have confirmed, by number.
 	publications map[uint64]*publication
-	// postUntil is until when messages are sent by connections at once, since packets have not arrived lately.
-	postUntil time.Time
+	// waitFrom is from when first events wait for receipts again, after one has waited in vain.
+	waitFrom time.Time
+	// packetReceiptAt is when a receipt last came for an origin that had arrived by a packet, postedReceiptAt for one by a
+	// connection.
+	packetReceiptAt time.Time
+	postedReceiptAt time.Time
 	// unconfirmed counts the origins that were given up, late those whose stream began before they were confirmed.
 	unconfirmed atomic.Int64
 	late        atomic.Int64
--- a/internal/jvversion/versions_test.go
+++ b/internal/jvversion/versions_test.go
@@ -27,6 +27,7 @@
 	inFleet(t, 6, "", func(f *fleet) {
 		s, _ := f.begin(f.routers[0])
 		require.EqualValues(t, 3+3, f.sent.Load(), "one other router in the zone, two elsewhere, and a receipt of each")
+		require.EqualValues(t, 3+3, f.posted.Load(), "the same on connections, until a receipt for a packet has come")
 		f.kill(f.routers[0])
 		f.join()
 		f.pass(time.Second)
@@ -124,6 +125,7 @@
 			f.pass(time.Second / perSecond)
 		}
 		require.EqualValues(t, (4+4)*len(streams), f.sent.Load()-sent)
+		require.EqualValues(t, (4+4)*routers, f.posted.Load(), "for the first stream of each router")
 		most := 0
 		for _, r := range f.routers {
 			most = max(most, r.streams.Len())
