--- a/internal/jvmemory/body.go
+++ b/internal/jvmemory/body.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// ReadBody reads the body of a caller's request of a workspace, of limit bytes at most and until a deadline, if that is not zero. The lease holds its
-// memory until the caller of ReadBody closes it; it is nil if the account is. It returns a *http.MaxBytesError for a longer body,
+// ReadBody reads the body of a caller's request of a workspace, of limit bytes at most and until a deadline, if that is not
+// zero. The lease holds its memory until the caller of ReadBody closes it; it is nil if the account is. It returns a *http.MaxBytesError for a longer body,
 // ErrFull if there is too little memory, ErrStalled if its sender makes no progress, and otherwise the error of the connection.
 func (a *Account) ReadBody(w http.ResponseWriter, r *http.Request, workspace string, limit int64, deadline time.Time) ([]byte, *Lease, error) {
 	if a != nil && r.ContentLength > limit {
--- a/internal/jvversion/publish.go
+++ b/internal/jvversion/publish.go
@@ -39,7 +39,7 @@
 	// packet and posted are the message as it is sent by packets and by connections.
 	packet []byte
 	posted []byte
-	// confirmed are the routers that have confirmed the origin; enough is closed once they are needed many.
+	// confirmed are the routers that have confirmed the origin; enough is closed once there are as many as needed.
 	confirmed map[string]bool
 	needed    int
 	enough    chan struct{}
@@ -51,7 +51,8 @@
 
 // Begin records that the caller of a request gets the first event of a stream from a target of a version, and sends that
 // to some other routers. Called before the event is sent, it returns once neededReceipts of them have confirmed it, after
-// maxBeginWait, or when ctx ends, and does not wait if another one has in vain lately; the origin is sent on until it is confirmed. Routers of earlier builds get it once.
+// maxBeginWait, or when ctx ends; it does not wait if another one has done so in vain lately. The origin is sent on until it is
+// confirmed. Routers of earlier builds get it once.
 func (v *Versions) Begin(ctx context.Context, request string, o Origin) {
 	if request == "" || o.Version == "" {
 		return
