--- a/review/stage-3/spot.go
+++ b/review/stage-3/spot.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// spot: a server announces that it leaves, and is gone two seconds later, while it runs streams without a length. Without
+// spot: a server announces that it leaves, and exits a little after drainMs, while it runs streams without a length. Without
 // the announcement it is gone all the same.
 func spot() {
 	const clients, output = 16, 300
@@ -41,7 +41,7 @@
 	if trouble {
 		first.drain()
 	}
-	time.Sleep(2000 * time.Millisecond)
+	time.Sleep(2200 * time.Millisecond) // drainMs, and a little longer.
 	first.stop()
 	wg.Wait()
 	if short > 0 {
