jvrelay: a stopping router takes late requests only if they end by themselves in time

What is sent later and taken has to end whole, unless its deadline, the route's timeout or the server ends it.

Cause: after the notice endsInTime took a request by a forecast: twice the longest remembered response fits, or 15 s are left. Nothing that a router remembers bounds a response: lengths vary, and servers slow down with their load. Ruled out: kept connections (new ones are cut alike in the test), late starts (the case's servers have free slots).

Now a request that has not run is sent to a target after the notice only if its caller's deadline or its route's timeout passes before requests without a response are ended. All others get a 503 at once. The forecast and what only fed it go: longest responses, 448 of 512 durations of each route, ages in progress.

--- a/internal/jvrelay/active.go
+++ b/internal/jvrelay/active.go
@@ -33,7 +33,10 @@
 	features jvquarantine.Features
 	// recordBegan records that the response of the present attempt at a target of this router has begun.
 	recordBegan func()
-	deadline    time.Time
+	// deadline is when this router ends the request, endsAt when its caller's deadline or its route's timeout passes: the
+	// former is earlier if the caller names no deadline.
+	deadline time.Time
+	endsAt   time.Time
 
 	// attempts counts all attempts, possibleRuns those that a target may have run, notRun those
 	// that no target ran.
@@ -126,7 +129,7 @@
 }
 
 func newActiveRequest(q *Request, c Caller) *activeRequest {
-	a := &activeRequest{request: q, lastEventID: -1, claimedAfter: noID, end: jvend.Broken, deadline: q.Deadline, open: openRequest{id: q.ID, arrivedAt: q.ArrivedAt}}
+	a := &activeRequest{request: q, lastEventID: -1, claimedAfter: noID, end: jvend.Broken, deadline: q.Deadline, endsAt: q.Deadline, open: openRequest{id: q.ID, arrivedAt: q.ArrivedAt}}
 	a.caller = countingCaller{Caller: c, open: &a.open}
 	if n, err := strconv.ParseInt(q.LastEventID, 10, 64); err == nil {
 		a.lastEventID = n
--- a/internal/jvrelay/durations.go
+++ b/internal/jvrelay/durations.go
@@ -8,12 +8,8 @@
 	"github.com/jasminevale/jasminevale/internal/jvend"
 )
 
-const (
-	// maxDurations is the number of a route's latest whole responses that show how long most of them take.
-	maxDurations = 64
-	// maxRemembered is the number of those that show how long a rare one takes.
-	maxRemembered = 512
-)
+// maxDurations is the number of a route's latest whole responses that show how long most of them take.
+const maxDurations = 64
 
 // duration is how long a whole response took.
 type duration struct {
@@ -48,12 +44,12 @@
 func (s *durations) add(route string, d duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if list := s.byRoute[route]; len(list) < maxRemembered {
+	if list := s.byRoute[route]; len(list) < maxDurations {
 		s.byRoute[route] = append(list, d)
 	} else {
 		list[s.next[route]] = d
 	}
-	s.next[route] = (s.next[route] + 1) % maxRemembered
+	s.next[route] = (s.next[route] + 1) % maxDurations
 }
 
 // within returns the share of a route's latest responses that would have ended within a time, for a request with at most
@@ -62,29 +58,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	list := s.byRoute[route]
-	known = min(len(list), maxDurations)
-	if known == 0 {
+	if len(list) == 0 {
 		return 0, 0
 	}
 	n := 0
-	for i := range known {
-		if list[(s.next[route]-1-i+2*len(list))%len(list)].of(tokens) <= limit {
+	for _, d := range list {
+		if d.of(tokens) <= limit {
 			n++
 		}
 	}
-	return float64(n) / float64(known), known
-}
-
-// longest returns the longest time that one of a route's remembered responses would have taken, for a request with at
-// most a number of tokens.
-func (s *durations) longest(route string, tokens int64) time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var longest time.Duration
-	for _, d := range s.byRoute[route] {
-		longest = max(longest, d.of(tokens))
-	}
-	return longest
+	return float64(n) / float64(len(list)), len(list)
 }
 
 // recordDuration records how long a whole response took.
--- a/internal/jvrelay/open.go
+++ b/internal/jvrelay/open.go
@@ -26,8 +26,12 @@
 	id        string
 	from      string
 	arrivedAt time.Time
-	route     string
-	target    string
+	// endsAt is when the request ends by itself. It is the zero time until the request's route is known.
+	endsAt time.Time
+	// sent is true while a target may run the request, or has.
+	sent   bool
+	route  string
+	target string
 	// via is the router of the latest attempt, if it is another one.
 	via string
 	// begun is true once the response has begun, parts is the number of its parts so far.
@@ -42,6 +46,9 @@
 	change(o)
 }
 
+// setSent sets whether a target may run the request or has.
+func (o *openRequest) setSent(sent bool) { o.update(func(o *openRequest) { o.sent = sent }) }
+
 // addPart counts a part of the response.
 func (o *openRequest) addPart() { o.update(func(o *openRequest) { o.begun = true; o.parts++ }) }
 
@@ -118,33 +125,28 @@
 	return ended
 }
 
-// stop starts the counts.
-func (r *openRequests) stop(now time.Time) {
+// endUnsent cancels the requests whose end is known, that no target may run, and that match.
+func (r *openRequests) endUnsent(match func(o *openRequest) bool) (ended int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.stoppedAt.IsZero() {
-		r.stoppedAt = now
+	for o, cancel := range r.all {
+		o.update(func(o *openRequest) {
+			if !o.endsAt.IsZero() && !o.sent && match(o) {
+				ended++
+				cancel(errStopped)
+			}
+		})
 	}
+	return ended
 }
 
-// oldest returns the largest age of the other requests in progress on the route of one.
-func (r *openRequests) oldest(one *openRequest, now time.Time) time.Duration {
-	var route string
-	one.update(func(o *openRequest) { route = o.route })
+// stop starts the counts.
+func (r *openRequests) stop(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var oldest time.Duration
-	for o := range r.all {
-		if o == one {
-			continue
-		}
-		o.update(func(o *openRequest) {
-			if o.route == route {
-				oldest = max(oldest, now.Sub(o.arrivedAt))
-			}
-		})
+	if r.stoppedAt.IsZero() {
+		r.stoppedAt = now
 	}
-	return oldest
 }
 
 // countEnd counts the end of a request by its outcome and its problem, if it has one.
--- a/internal/jvrelay/peer.go
+++ b/internal/jvrelay/peer.go
@@ -18,7 +18,7 @@
 func (r *Relay) ServePeer(ctx context.Context, d Dispatch, from string) (*Response, error) {
 	const op = "attempt for another router"
 	startedAt := r.options.Timer.Now()
-	a := &activeRequest{request: d.Request, placement: placement{pool: d.Selection.Pool}, features: d.Selection.Features, lastEventID: -1, deadline: startedAt.Add(d.Timeout), open: openRequest{id: d.Request.ID, from: from, arrivedAt: startedAt}}
+	a := &activeRequest{request: d.Request, placement: placement{pool: d.Selection.Pool}, features: d.Selection.Features, lastEventID: -1, deadline: startedAt.Add(d.Timeout), open: openRequest{id: d.Request.ID, from: from, arrivedAt: startedAt, endsAt: startedAt.Add(d.Timeout)}}
 	// A router that reaches no target does not forward what others have sent it: there is one hop only.
 	if r.Room() == 0 || r.options.Reach.Cut() || !r.options.Gate.EnterOther() {
 		return nil, r.reportPeer(a, from, jvfault.Newf(op, KindUnsent, "this router takes no requests of others now"))
@@ -66,10 +66,12 @@
 }
 
 // tryForPeer makes an attempt for another router, at the first target that does not refuse the connection. The request
-// has no target after an error without an attempt.
+// has no target after an error without an attempt. Once this router stops, only an attempt that ends by itself in time is
+// made: it may have waited since before.
 func (r *Relay) tryForPeer(ctx context.Context, a *activeRequest, d Dispatch, attempt string) (lease jvtarget.Lease, response *Response, err error) {
 	s := d.Selection
 	for {
+		a.open.setSent(false)
 		lease, err = r.targets.Acquire(ctx, jvtarget.Request{
 			Pool: s.Pool, Attempt: fmt.Sprintf("%s.%d", attempt, a.attempts), Prefix: s.Prefix, Digest: s.Features.Request[:],
 			Priority: -d.Priority, Workspace: d.Workspace, Avoid: slices.Concat(a.avoid, s.Avoid), PreferAnswered: true, Deadline: a.deadline, Bound: s.Bound, Version: s.Version,
@@ -78,6 +80,12 @@
 			a.target = ""
 			return lease, nil, err
 		}
+		a.open.setSent(true)
+		if stop := r.stop.Load(); stop != nil && !stop.endsInTime(a.deadline) {
+			lease.Release(jvtarget.ResultInconclusive)
+			a.target = ""
+			return lease, nil, errStopped
+		}
 		a.startAttempt(r.options.Timer.Now(), try{lease: lease})
 		a.setTarget(lease.Target, r.registry.startedAt(lease.Target.Name))
 		d.Target = lease.Target
--- a/internal/jvrelay/relay.go
+++ b/internal/jvrelay/relay.go
@@ -170,11 +170,13 @@
 func (r *Relay) SendsAway() bool { return r.LinkCongested() || r.options.Reach.Stranded() }
 
 // Stop makes Ready report false for a stop that began at a time: the connections close by the times of its plan, also if
-// the process did not run in between. The relay still serves requests, unless they can't be expected to end before the
-// plan's drain does.
+// the process did not run in between. The relay still serves requests, unless they may not end before the plan's drain
+// does. Attempts for other routers that wait are refused: those routers can choose another one at once.
 func (r *Relay) Stop(startedAt time.Time, p StopPlan) {
+	s := newStopTimes(startedAt, p)
 	r.open.stop(startedAt)
-	r.stop.Store(&stopTimes{noticeEnd: startedAt.Add(p.Notice), drainEnd: startedAt.Add(p.DrainEnd())})
+	r.stop.Store(s)
+	r.open.endUnsent(func(o *openRequest) bool { return o.from != "" && !s.endsInTime(o.endsAt) })
 }
 
 // Stopping reports whether Stop has been called.
--- a/internal/jvrelay/report.go
+++ b/internal/jvrelay/report.go
@@ -9,6 +9,9 @@
 	"github.com/jasminevale/jasminevale/internal/jvquarantine"
 )
 
+// outcomeStopping is the outcome of requests that did not run since this router stops.
+const outcomeStopping = "stopping"
+
 // Outcomes of requests without a problem of their own name, in log lines and metrics.
 const (
 	outcomeWhole = "whole"
--- a/internal/jvrelay/request.go
+++ b/internal/jvrelay/request.go
@@ -41,9 +41,11 @@
 	ArrivedAt time.Time
 	Deadline  time.Time
 	// Timeout is how long the caller waits, by its own header or the default.
-	Timeout     time.Duration
-	Usage       Usage
-	PromptParts []PromptPart
+	Timeout time.Duration
+	// DefaultTimeout is true if that is the default: it is this router's limit, not the caller's.
+	DefaultTimeout bool
+	Usage          Usage
+	PromptParts    []PromptPart
 	// LastEventID is the ID of the last event that the caller has of an earlier response to the
 	// same request, or empty.
 	LastEventID string
--- a/internal/jvrelay/serve.go
+++ b/internal/jvrelay/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net/http"
 	"time"
 
@@ -124,12 +125,20 @@
 		}
 	}
 	a.place(route.SelectPool(r.options.Random.Float()))
+	if q.DefaultTimeout {
+		a.endsAt = q.ArrivedAt.Add(unbounded)
+	}
 	if route.Timeout > 0 {
 		a.deadline = earlier(a.deadline, q.ArrivedAt.Add(route.Timeout))
+		a.endsAt = earlier(a.endsAt, q.ArrivedAt.Add(route.Timeout))
 	}
+	a.open.update(func(o *openRequest) { o.endsAt = a.endsAt })
 	return nil
 }
 
+// unbounded is how long a request may last that has neither a deadline of its caller nor a timeout of its route.
+const unbounded = time.Duration(math.MaxInt64)
+
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
@@ -172,6 +181,10 @@
 	}
 	defer r.refundReturn(a)
 	for {
+		a.open.setSent(a.possibleRuns > 0)
+		if p := r.refuseLate(ctx, a); p != nil {
+			return p
+		}
 		t, err := r.nextTry(ctx, a)
 		if err != nil {
 			a.cause = err.Error()
@@ -180,14 +193,15 @@
 			}
 			return r.noTargetProblem(a, err)
 		}
-		if p := r.refuseLate(ctx, a); p != nil && a.possibleRuns == 0 { // It may have waited for a slot since the stop began.
-			r.endTry(t, jvtarget.ResultInconclusive, false)
-			return p
-		}
 		if refusal, ok := r.options.Quarantine.Admit(ctx, a.features); !ok { // Another router may have reported a crash.
 			r.endTry(t, jvtarget.ResultInconclusive, false)
 			return quarantined(a, refusal)
 		}
+		a.open.setSent(true)
+		if p := r.refuseLate(ctx, a); p != nil { // It may have waited for a slot since the stop began.
+			r.endTry(t, jvtarget.ResultInconclusive, false)
+			return p
+		}
 		a.startAttempt(r.options.Timer.Now(), t)
 		if t.forwarded {
 			err = r.forwardAttempt(ctx, a, t.peer)
--- a/internal/jvrelay/stop.go
+++ b/internal/jvrelay/stop.go
@@ -45,53 +45,46 @@
 const (
 	// stopRetryAfter is short, since another router can serve the request at once.
 	stopRetryAfter = 50 * time.Millisecond
-	// minKnown is the number of a route's responses from which it is estimated whether a request ends in time, and
-	// minShare the share of them that would have.
+	// minKnown is the number of a route's responses from which it is estimated in the notice whether a request ends in
+	// time, and minShare the share of them that would have.
 	minKnown = 8
 	minShare = 0.9
-	// lateFactor is how many times the longest response that the router knows of must fit into what is left of the drain
-	// once the notice is over, lateMargin what must be left besides: a target may be slower than ever before.
-	lateFactor = 2
-	lateMargin = 200 * time.Millisecond
-	// muchTime is left of a long drain if a response that does not end by then would be unusual on any route.
-	muchTime = 15 * time.Second
 )
 
-// refuseLate returns the problem of a request that arrives while the router stops and can't be expected to end
-// before the drain does, else nil.
+// refuseLate returns the problem of a request that has not run and that may not end before the drain of a stop does, else
+// nil.
+//
+// A request that is cut leaves its caller with a part of a response, or in doubt whether it ran. A refusal costs a caller
+// that has another router little. In the notice the load balancer may still send callers here, and again after a refusal,
+// so only what mostly ends too late is refused. After it, a request is taken only if it ends by itself in time, at its
+// deadline or at its route's timeout: how long earlier responses took is no bound.
 func (r *Relay) refuseLate(ctx context.Context, a *activeRequest) *Problem {
 	s := r.stop.Load()
-	if !stopped(ctx) && (s == nil || r.endsInTime(s, a)) {
+	if s == nil || a.possibleRuns > 0 {
 		return nil
 	}
-	return stopping("this router stops before the request would end")
-}
-
-// endsInTime reports whether a request that arrives while the router stops can be expected to end before the drain does.
-//
-// The answer at the end of the drain to a request that runs is of no use to a caller who may not repeat it, a refusal
-// costs one that has another router little. In the notice the load balancer may still send callers here, and again
-// after a refusal, so only what mostly ends too late is refused. After it, these are taken:
-//   - what its deadline or its route's timeout ends by then,
-//   - what can be repeated or resumed, if the responses that have ended and those in progress show that it ends,
-//   - whatever has much time left, unless they show that it may not end.
-func (r *Relay) endsInTime(s *stopTimes, a *activeRequest) bool {
-	end := s.drainEnd.Add(-maxAnswerTime) // From here on requests without a response are ended.
-	if !a.deadline.After(end) {
-		return true
-	}
 	now := r.options.Timer.Now()
-	left := end.Sub(now)
-	route, tokens := a.route.Name, a.request.Usage.OutputTokens
-	share, known := r.durations.within(route, tokens, left)
-	if !now.After(s.noticeEnd) {
-		return known < minKnown || share >= minShare
+	late := !now.Before(s.noticeEnd)
+	if !stopped(ctx) && (s.endsInTime(a.endsAt) || !late && r.mostlyEnds(a, s.lastEnd.Sub(now))) {
+		return nil
 	}
-	longest := max(r.durations.longest(route, tokens), r.open.oldest(&a.open, now))
-	if lateFactor*longest+lateMargin > left {
-		return false
+	return stopping("this router stops and may do so before the request ends")
+}
+
+// mostlyEnds reports whether most of a route's latest responses would have ended within a time, or too few are known.
+func (r *Relay) mostlyEnds(a *activeRequest, within time.Duration) bool {
+	share, known := r.durations.within(a.route.Name, a.request.Usage.OutputTokens, within)
+	return known < minKnown || share >= minShare
+}
+
+// EndNotice refuses the requests that wait, have not run and may not end before the drain does. From then on such requests
+// are refused when they arrive.
+func (r *Relay) EndNotice() {
+	s := r.stop.Load()
+	n := r.open.endUnsent(func(o *openRequest) bool { return !s.endsInTime(o.endsAt) })
+	if n > 0 {
+		r.options.Logger.Info("waiting requests refused at the end of the notice", "requests", n)
 	}
-	return left >= muchTime || a.route.Repeatable() && known >= minKnown
 }
 
 // errStopped cancels requests without a response when the drain of a stop ends.
@@ -101,14 +94,23 @@
 func stopped(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errStopped) }
 
 // stopping returns the problem of a request that did not run since this router stops.
-func stopping(message string) *Problem { return notRun("stopping", message, stopRetryAfter) }
+func stopping(message string) *Problem { return notRun(outcomeStopping, message, stopRetryAfter) }
 
 // stopTimes are the times of a planned stop in progress.
 type stopTimes struct {
 	noticeEnd time.Time
-	drainEnd  time.Time
+	// lastEnd is when requests without a response are ended.
+	lastEnd time.Time
 }
 
+// newStopTimes returns the times of a stop that began at a time.
+func newStopTimes(startedAt time.Time, p StopPlan) *stopTimes {
+	return &stopTimes{noticeEnd: startedAt.Add(p.Notice), lastEnd: startedAt.Add(p.AnswerBegin())}
+}
+
+// endsInTime reports whether a request that ends by itself at a time does so before the drain ends it.
+func (s *stopTimes) endsInTime(endsAt time.Time) bool { return !endsAt.After(s.lastEnd) }
+
 // DrainEnd returns when the drain ends, as the time since the stop began.
 func (p StopPlan) DrainEnd() time.Duration { return p.Notice + p.Drain }
 
