jvrelay: counts of the requests that a stopping router takes, refuses and cuts

On-call saw from the log of a stop how its requests ended, not which were taken while it lasted, and why one was refused only by reading the code. stopped and stop phase over have taken and late (after the notice), a refused request's line has wait (how long it may last) and left (until requests without a response are ended), and the gauges jv_relay_stop_requests{result} have the counts.

--- a/internal/jvrelay/dump.go
+++ b/internal/jvrelay/dump.go
@@ -1,6 +1,7 @@
 package jvrelay
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/jasminevale/jasminevale/internal/jvtarget"
@@ -79,4 +80,14 @@
 		}
 		return 0
 	})
+	for result, count := range map[string]func(c StopCounts) int64{
+		"taken":   func(c StopCounts) int64 { return c.Taken },
+		"late":    func(c StopCounts) int64 { return c.Late },
+		"whole":   func(c StopCounts) int64 { return c.Whole },
+		"refused": func(c StopCounts) int64 { return c.Refused },
+		"cut":     func(c StopCounts) int64 { return c.Cut },
+		"failed":  func(c StopCounts) int64 { return c.Failed },
+	} {
+		r.options.Meter.Gauge(fmt.Sprintf("jv_relay_stop_requests{result=%q}", result), func() float64 { return float64(count(r.StopCounts())) })
+	}
 }
--- a/internal/jvrelay/open.go
+++ b/internal/jvrelay/open.go
@@ -66,12 +66,16 @@
 	}
 }
 
-// StopCounts are the requests that have ended since the stop began.
+// StopCounts are the requests that were taken and those that have ended since the stop began.
 type StopCounts struct {
 	Whole int64
 	// Cut is the number of responses that broke off, Gone that of callers that disconnected.
 	Cut  int64
 	Gone int64
+	// Taken is the number of requests that were first sent to a target since the stop began, Late that of those after the
+	// notice.
+	Taken int64
+	Late  int64
 	// Refused is the number of requests that did not run, Failed that of other error responses.
 	Refused int64
 	Failed  int64
@@ -149,6 +153,16 @@
 	}
 }
 
+// countTaken counts a request that is first sent to a target.
+func (r *openRequests) countTaken(late bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.counts.Taken++
+	if late {
+		r.counts.Late++
+	}
+}
+
 // countEnd counts the end of a request by its outcome and its problem, if it has one.
 func (r *openRequests) countEnd(outcome string, p *Problem) {
 	r.mu.Lock()
--- a/internal/jvrelay/open_test.go
+++ b/internal/jvrelay/open_test.go
@@ -1,6 +1,7 @@
 package jvrelay
 
 import (
+	"bytes"
 	"context"
 	"testing"
 	"testing/synctest"
@@ -36,6 +37,11 @@
 		require.Equal(t, StopCounts{Open: 1}, s.relay.StopCounts())
 		leave()
 		<-done
-		require.Equal(t, StopCounts{Cut: 1}, s.relay.StopCounts())
+		s.serve(t.Context(), t, "stream", nil)
+		require.Equal(t, StopCounts{Taken: 1, Cut: 1, Whole: 1}, s.relay.StopCounts())
+		s.relay.RegisterGauges()
+		var metrics bytes.Buffer
+		s.relay.Meter().Write(&metrics)
+		require.Contains(t, metrics.String(), `jv_relay_stop_requests{result="cut"} 1`)
 	})
 }
--- a/internal/jvrelay/report.go
+++ b/internal/jvrelay/report.go
@@ -76,6 +76,9 @@
 	if p != nil && p.RetryAfter > 0 {
 		values = append(values, "retry", p.RetryAfter.Round(time.Millisecond).String())
 	}
+	if s := r.stop.Load(); s != nil && outcome == outcomeStopping {
+		values = append(values, "wait", a.endsAt.Sub(now).Milliseconds(), "left", s.lastEnd.Sub(now).Milliseconds())
+	}
 	if ctx.Err() != nil {
 		values = append(values, "caller", "left")
 	}
--- a/internal/jvrelay/serve.go
+++ b/internal/jvrelay/serve.go
@@ -202,6 +202,9 @@
 			r.endTry(t, jvtarget.ResultInconclusive, false)
 			return p
 		}
+		if s := r.stop.Load(); s != nil && a.attempts == 0 {
+			r.open.countTaken(!r.options.Timer.Now().Before(s.noticeEnd))
+		}
 		a.startAttempt(r.options.Timer.Now(), t)
 		if t.forwarded {
 			err = r.forwardAttempt(ctx, a, t.peer)
