jvfleet: a test that a stopping router refuses new requests

TestStopRefusesNew passes on the unchanged code: each request after the signal is refused at once as not run, and another router serves it.

--- a/internal/jvfleet/stop_test.go
+++ b/internal/jvfleet/stop_test.go
@@ -100,3 +100,33 @@
 		require.Empty(t, s.violation())
 	})
 }
+
+// TestStopRefusesNew guards against a router that takes a request while it stops, which it may have to break off: each one
+// that comes after the signal is refused at once as not run, and another router serves it.
+func TestStopRefusesNew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSimulatedFleet(t, nil)
+		defer s.close()
+		s.sim.SetTokenTime(100 * time.Millisecond)
+		go s.chat("a1", "open", "text")
+		time.Sleep(100 * time.Millisecond)
+		stopped := make(chan struct{})
+		go func() {
+			defer close(stopped)
+			s.sim.Router("a1").Stop(context.Background())
+		}()
+		for n := 0; ; n++ {
+			synctest.Wait()
+			select {
+			case <-stopped:
+				require.Positive(t, n)
+				require.Empty(t, s.violation())
+				return
+			default:
+			}
+			r := s.chat("a1", "", "text")
+			require.Equal(t, "notrun unavailable 0s", fmt.Sprint(r.outcome, " ", r.problem, " ", r.elapsed))
+			require.True(t, s.chat("b1", "", "text").served())
+		}
+	})
+}
