--- a/internal/jvrelay/stop.go
+++ b/internal/jvrelay/stop.go
@@ -64,8 +64,8 @@
 		return nil
 	}
 	now := r.options.Timer.Now()
-	late := !now.Before(s.noticeEnd)
-	if !stopped(ctx) && (s.endsInTime(a.endsAt) || !late && r.mostlyEnds(a, s.lastEnd.Sub(now))) {
+	inNotice := now.Before(s.noticeEnd)
+	if !stopped(ctx) && (s.endsInTime(a.endsAt) || inNotice && r.mostlyEnds(a, s.lastEnd.Sub(now))) {
 		return nil
 	}
 	return stopping("this router stops and may do so before the request ends")
@@ -77,8 +77,8 @@
 	return known < minKnown || share >= minShare
 }
 
-// EndNotice refuses the requests that wait, have not run and may not end before the drain does. From then on such requests
-// are refused when they arrive.
+// EndNotice refuses the requests that wait, have not run and may not end before the drain of a stop in progress does. From
+// then on such requests are refused when they arrive.
 func (r *Relay) EndNotice() {
 	s := r.stop.Load()
 	n := r.open.endUnsent(func(o *openRequest) bool { return !s.endsInTime(o.endsAt) })
@@ -87,10 +87,11 @@
 	}
 }
 
-// errStopped cancels requests without a response when the drain of a stop ends.
+// errStopped cancels the requests that a stop does not wait for: at the end of the notice those that wait and may last longer
+// than the drain, at the end of the drain all without a response.
 var errStopped = errors.New("this router stops")
 
-// stopped reports whether a request was canceled since the drain of a stop ends.
+// stopped reports whether this router's stop canceled a request.
 func stopped(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errStopped) }
 
 // stopping returns the problem of a request that did not run since this router stops.
