TestWaitingAtStop: a failed check ends the test instead of hanging

A check that fails in the test's goroutine ended it before it sent its result, and the test waited for the time limit (seen with a mutant in which EndNotice refuses nothing, case "for tokens"). The channel is closed now. With that mutant the test fails after 0.01 s in three cases.

--- a/internal/jvrelay/late_test.go
+++ b/internal/jvrelay/late_test.go
@@ -243,6 +243,7 @@
 				}
 				stoppedAt, served := time.Now(), make(chan bool)
 				go func() {
+					defer close(served) // A failed check ends the goroutine before it sends.
 					if c.peer {
 						_, err := s.relay.ServePeer(t.Context(), Dispatch{
 							Request: &Request{ID: "q", Method: "POST", URI: "/stream/x", Header: http.Header{}}, Timeout: c.wait, Selection: Selection{Pool: "p"},
