--- a/internal/jvpressure/fence.go
+++ b/internal/jvpressure/fence.go
@@ -73,3 +73,15 @@
 	f.mu.Unlock()
 	return late && (failed || float64(f.options.Stalled(since)) >= ownDelayShare*float64(f.options.MaxAge))
 }
+
+// Missed reports whether the process has handled no events for a while since the topic had only what is known: what happened
+// meanwhile is seen only now, and may be older than changes of the topic that are not known yet.
+func (f *Fence) Missed() bool {
+	if f.options.Stalled == nil {
+		return false
+	}
+	f.mu.Lock()
+	asOf := f.asOf
+	f.mu.Unlock()
+	return f.options.Stalled(asOf) > 0
+}
--- a/internal/jvpressure/fence_test.go
+++ b/internal/jvpressure/fence_test.go
@@ -36,6 +36,24 @@
 	}
 }
 
+// TestMissed checks that knowledge counts as missing what happened until a read that began after the stall.
+func TestMissed(t *testing.T) {
+	const stallEnd = 10 * time.Second
+	f := NewFence(FenceOptions{Uptime: func() time.Duration { return time.Minute }, Stalled: func(since time.Duration) time.Duration { return max(0, stallEnd-since) }})
+	for _, c := range []struct {
+		read   Read
+		missed bool
+	}{
+		{Read{StartedAt: 8 * time.Second, EndedAt: 11 * time.Second, Wait: time.Second}, true},
+		{Read{StartedAt: 9 * time.Second, EndedAt: 11 * time.Second, Wait: time.Second, Records: 1}, true},
+		{Read{StartedAt: 11 * time.Second, EndedAt: 12 * time.Second, Err: errors.New("lost")}, true},
+		{Read{StartedAt: 12 * time.Second, EndedAt: 12 * time.Second}, false},
+	} {
+		f.Record(c.read)
+		require.Equal(t, c.missed, f.Missed(), "%+v", c.read)
+	}
+}
+
 // fenceStep is what happens at a second, and whether the knowledge is late for a reason of the process after it.
 type fenceStep struct {
 	at   float64
--- a/internal/jvrelay/claim.go
+++ b/internal/jvrelay/claim.go
@@ -17,6 +17,8 @@
 	endProbeTimeout = 1250 * time.Millisecond
 	// endProbeShare is the part of the time before the deadline for that: the response has to reach its caller, too.
 	endProbeShare = 4
+	// listPoll is the interval at which is looked whether the list of targets has been read.
+	listPoll = 10 * time.Millisecond
 )
 
 // claimedBody is the body of a response that ends with its connection. Its end is an error if the target's process has
@@ -55,6 +57,7 @@
 // checkEnd looks for evidence that a target's process has ended with the connection that ended its response. It returns
 // io.EOF if there is none.
 func (r *Relay) checkEnd(ctx context.Context, a *activeRequest, t jvconfig.Target) error {
+	r.awaitList(ctx, a)
 	shown := r.registry.ended(t, a.targetStartedAt)
 	switch {
 	case shown == evidenceRestarted, shown == evidenceReplaced:
@@ -70,6 +73,25 @@
 	return errors.Errorf("the response ended with its connection, and so did the target's process: %s", shown)
 }
 
+// awaitList waits for the list of targets if this process has stood still since it was read. The response may have ended long
+// ago then, and a connection be accepted by the target's next process, which the list shows.
+func (r *Relay) awaitList(ctx context.Context, a *activeRequest) {
+	if !r.options.Gate.MissedTargets() {
+		return
+	}
+	now := r.options.Timer.Now()
+	ctx, cancel := r.options.Timer.WithTimeout(ctx, min(endProbeTimeout, a.deadline.Sub(now)/endProbeShare))
+	defer cancel()
+	for r.options.Gate.MissedTargets() {
+		select {
+		case <-ctx.Done():
+			r.options.Logger.Info("end of a response checked without the list of targets", "request", a.request.ID, "target", a.target)
+			return
+		case <-r.options.Timer.After(listPoll):
+		}
+	}
+}
+
 // checkListener returns the evidence that nothing listens any more at the address of a target which has closed its
 // connection, or "". lapsed is true if its entry was removed: that alone shows nothing, since targets that leave may
 // remove it first and serve on.
--- a/internal/jvrelay/claim_test.go
+++ b/internal/jvrelay/claim_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/jasminevale/jasminevale/internal/jvconfig"
 	"github.com/jasminevale/jasminevale/internal/jvmember"
+	"github.com/jasminevale/jasminevale/internal/jvpressure"
 	"github.com/jasminevale/jasminevale/internal/jvquarantine"
 	"github.com/jasminevale/jasminevale/internal/jvreach"
 	"github.com/jasminevale/jasminevale/internal/jvroute"
@@ -197,6 +198,47 @@
 	}
 }
 
+// TestClaimedEndAfterStandstill guards against a response that broke off while this router stood still, and counts as ended since
+// the target's next process listens already (ORDER, review/12): the list of targets is read before its end counts.
+func TestClaimedEndAfterStandstill(t *testing.T) {
+	const limit = 500 * time.Millisecond // A quarter of what is left of the route's timeout.
+	for _, c := range []struct {
+		name   string
+		change func(e *Entry) *Entry
+		readAt time.Duration
+		want   string
+		took   time.Duration
+	}{
+		{"the target has started again", func(e *Entry) *Entry { e.StartedAtMillis++; return e }, 35 * time.Millisecond, "refused 502 failed, retry after 0s", 40 * time.Millisecond},
+		{"the target goes on", keepEntry, 35 * time.Millisecond, "200 until the close: ans", 40 * time.Millisecond},
+		{"the list is not read", keepEntry, time.Hour, "200 until the close: ans", limit},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				begin := time.Now()
+				uptime := func() time.Duration { return time.Since(begin) }
+				stallEnd := time.Duration(0)
+				list := jvpressure.NewFence(jvpressure.FenceOptions{
+					Uptime: uptime, Stalled: func(since time.Duration) time.Duration { return max(0, stallEnd-since) },
+				})
+				f, s := newClaimFixture(t, nil, script{status: 200, body: "ans", unframed: true})
+				o := jvpressure.DefaultGateOptions()
+				o.Timer, o.Targets = f.relay.options.Timer, list
+				f.relay.options.Gate = jvpressure.NewGate(o)
+				s.during = func(target jvconfig.Target) {
+					stallEnd = uptime() + time.Nanosecond
+					time.AfterFunc(c.readAt, func() {
+						f.changeEntry(c.change)(target)
+						list.Record(jvpressure.Read{StartedAt: uptime(), EndedAt: uptime()})
+					})
+				}
+				require.Equal(t, c.want, f.serve(t.Context(), t, "once", nil))
+				require.Equal(t, c.took, time.Since(begin))
+			})
+		})
+	}
+}
+
 // TestClaimedEndOfLeavingProcess guards against losing the whole answer of a target that has announced that it leaves, and
 // that stops listening before its last response without a length ends; and against a report of a crash.
 func TestClaimedEndOfLeavingProcess(t *testing.T) {
