--- a/internal/jvpressure/fence.go
+++ b/internal/jvpressure/fence.go
@@ -74,8 +74,8 @@
 	return late && (failed || float64(f.options.Stalled(since)) >= ownDelayShare*float64(f.options.MaxAge))
 }
 
-// Missed reports whether the process has handled no events for a while since the topic had only what is known: what happened
-// meanwhile is seen only now, and may be older than changes of the topic that are not known yet.
+// Missed reports whether the process has stalled since the topic had only what is known. Events that it handles now may be
+// older than changes of the topic that it has not read yet.
 func (f *Fence) Missed() bool {
 	if f.options.Stalled == nil {
 		return false
--- a/internal/jvpressure/gate.go
+++ b/internal/jvpressure/gate.go
@@ -214,7 +214,7 @@
 // late reports whether the configuration or the list of targets is too old for a reason of this process.
 func (g *Gate) late() bool { return g.options.Config.Late() || g.options.Targets.Late() }
 
-// MissedTargets reports whether this process has stood still since the list of targets had only what is known.
+// MissedTargets reports whether this process has stalled since the list of targets was known to be current.
 func (g *Gate) MissedTargets() bool { return g.options.Targets.Missed() }
 
 // Stale returns a refusal if the configuration or the list of targets is too old for a reason of this process.
--- a/internal/jvrelay/active.go
+++ b/internal/jvrelay/active.go
@@ -83,7 +83,7 @@
 	// framing of the caller's shows more; or noID.
 	claimedAfter    int64
 	eventsForwarded int64
-	// uncounted is true once output has been forwarded whose tokens events don't count.
+	// uncounted is true once output has been forwarded whose tokens can't be counted by events.
 	uncounted   bool
 	firstByteAt time.Time
 	// framing is the end that the latest target's response can show.
@@ -189,7 +189,7 @@
 const unseenEvents = 2
 
 // used returns the tokens to settle: the prompt once, however many attempts ran, and the output
-// of the forwarded events, or its maximum if events don't count it. It returns 0 if no target can have run the request.
+// of the forwarded events, or its maximum if it is uncounted. It returns 0 if no target can have run the request.
 func (a *activeRequest) used() int64 {
 	u := a.request.Usage
 	if a.possibleRuns == 0 {
--- a/internal/jvrelay/claim.go
+++ b/internal/jvrelay/claim.go
@@ -17,7 +17,7 @@
 	endProbeTimeout = 1250 * time.Millisecond
 	// endProbeShare is the part of the time before the deadline for that: the response has to reach its caller, too.
 	endProbeShare = 4
-	// listPoll is the interval at which is looked whether the list of targets has been read.
+	// listPoll is the interval at which awaitList checks whether the list of targets has been read.
 	listPoll = 10 * time.Millisecond
 )
 
@@ -73,8 +73,8 @@
 	return errors.Errorf("the response ended with its connection, and so did the target's process: %s", shown)
 }
 
-// awaitList waits for the list of targets if this process has stood still since it was read. The response may have ended long
-// ago then, and a connection be accepted by the target's next process, which the list shows.
+// awaitList waits until the list of targets has been read again if this process has stalled since the last read. The response
+// may have ended long ago then, and the target's next process may accept connections: only a new list shows its start time.
 func (r *Relay) awaitList(ctx context.Context, a *activeRequest) {
 	if !r.options.Gate.MissedTargets() {
 		return
